--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"brackenhall/choice"
+	"saddleport/choice"
 )
 
 // A caller feeds events with the clock it read and carries out the actions.
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"brackenhall/internal/wire"
+	"saddleport/internal/wire"
 )
 
 func main() {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"brackenhall/choice"
+	"saddleport/choice"
 )
 
 // fieldError says what is wrong with one field of a message.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strconv"
 
-	"brackenhall/choice"
+	"saddleport/choice"
 )
 
 func bit(on bool) string {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -11,7 +11,7 @@
 	"math"
 	"strings"
 
-	"brackenhall/choice"
+	"saddleport/choice"
 )
 
 // maxLine bounds one line; batches may be larger.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"brackenhall/choice"
+	"saddleport/choice"
 )
 
 // pairs are the settings of a NEW_INSTANCE, with the first complaint.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"brackenhall/choice"
+	"saddleport/choice"
 )
 
 const start = "NEW_INSTANCE 7 family-info.places=2 family-info.width=2 family-info.slices=2 limits.send-cap=2 " +
