--- /dev/null
+++ b/cmd/saddleport/main.go
@@ -0,0 +1,224 @@
+// Command saddleport is the real mixer. This file owns the command line, the
+// configuration, the process's limits and its signals; it puts the two sides and
+// the exchange together. It must never decide anything about a query, and never
+// end while an answer is owed.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/urfave/cli/v3"
+
+	"saddleport/choice"
+	"saddleport/internal/back"
+	"saddleport/internal/exchange"
+	"saddleport/internal/front"
+	"saddleport/internal/settings"
+)
+
+const (
+	spareFiles   = 32                     // descriptors kept for all but connections of clients and leaf servers
+	leafShare    = 4                      // of the rest, one in so many is for leaf servers
+	memoryShare  = 0.6                    // of the limit: from there on the collector works harder
+	settleTime   = time.Second            // after SIGTERM: new requests are expected at least so long
+	quietTime    = 400 * time.Millisecond // without news, before the listener is closed
+	lastChance   = 50 * time.Millisecond  // for a request that crosses the end of its connection
+	countersTime = 10 * time.Second
+)
+
+// config is what the platform tells a mixer.
+type config struct {
+	name, listen, discovery string
+	seed                    uint64
+	cores                   float64
+	memoryMB, sockets       int
+	settings                settings.Settings
+	known                   choice.List
+	addrs                   map[string]string
+}
+
+func main() {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	path := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("BALANCER_CONFIG")}
+	app := &cli.Command{
+		Name:  "saddleport",
+		Usage: "mixes answers of leaf servers into answers to queries",
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "serve until SIGTERM", Flags: []cli.Flag{path},
+				Action: func(_ context.Context, c *cli.Command) error {
+					cfg, err := load(c.String("config"), os.Getenv)
+					if err != nil {
+						return err
+					}
+					return serve(cfg)
+				}},
+			{Name: "check-config", Usage: "read the configuration and say what is wrong with it", Flags: []cli.Flag{path},
+				Action: func(_ context.Context, c *cli.Command) error {
+					cfg, err := load(c.String("config"), os.Getenv)
+					if err == nil {
+						_, err = exchange.New(cfg.seed, cfg.settings)
+					}
+					if err != nil {
+						return err
+					}
+					_, err = fmt.Printf("name=%s listen=%s discovery=%s classes=%d known=%d\n", cfg.name, cfg.listen,
+						cfg.discovery, len(cfg.settings.Router.Classes), len(cfg.known.Servers))
+					return err
+				}},
+			{Name: "version", Usage: "say which build this is",
+				Action: func(context.Context, *cli.Command) error { return version(os.Stdout) }},
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		log.Printf("event=fatal err=%q", err)
+		os.Exit(1)
+	}
+}
+
+func version(w io.Writer) error {
+	revision, info, ok := "unknown", (*debug.BuildInfo)(nil), false
+	if info, ok = debug.ReadBuildInfo(); !ok {
+		return errors.New("no build information")
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	_, err := fmt.Fprintf(w, "saddleport revision=%s go=%s\n", revision, info.GoVersion)
+	return err
+}
+
+// load reads the configuration; the platform's variables stand in for what it
+// does not say.
+func load(path string, env func(string) string) (*config, error) {
+	if path == "" {
+		return nil, errors.New("no configuration: give --config or BALANCER_CONFIG")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return decode(text, env)
+}
+
+func decode(text []byte, env func(string) string) (*config, error) {
+	doc := gjson.ParseBytes(text)
+	if !gjson.ValidBytes(text) || !doc.IsObject() {
+		return nil, errors.New("configuration: not a JSON object")
+	}
+	told := func(field, variable string) string {
+		if v := doc.Get(field); v.Exists() {
+			return v.String()
+		}
+		return env(variable)
+	}
+	c := &config{name: told("name", "BALANCER_NAME"), listen: told("listen", "BALANCER_LISTEN"),
+		discovery: told("discovery", "BALANCER_DISCOVERY")}
+	for field, addr := range map[string]string{"listen": c.listen, "discovery": c.discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, &settings.FieldError{Path: field, Problem: fmt.Sprintf("%q is not an address", addr)}
+		}
+	}
+	var err error
+	if c.seed, err = strconv.ParseUint(doc.Get("seed").String(), 16, 64); err != nil {
+		return nil, &settings.FieldError{Path: "seed", Problem: "not 16 hex digits"}
+	}
+	number := func(path string, least, most float64) float64 {
+		v := doc.Get(path)
+		if err == nil && (v.Type != gjson.Number || v.Num < least || v.Num > most) {
+			err = &settings.FieldError{Path: path, Problem: fmt.Sprintf("%q is not a number within %v to %v", v.Raw, least, most)}
+		}
+		return v.Num
+	}
+	c.cores = number("limits.cores", 0.01, 1024)
+	c.memoryMB = int(number("limits.memory_mb", 16, 1<<20))
+	c.sockets = int(number("limits.sockets", 64, 1<<20))
+	if err != nil {
+		return nil, err
+	}
+	if !doc.Get("settings").IsObject() {
+		return nil, &settings.FieldError{Path: "settings", Problem: "not an object"}
+	}
+	if c.settings, err = settings.Decode(settings.Flatten(doc.Get("settings"))); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if known := doc.Get("known"); known.Exists() {
+		if c.known, c.addrs, err = back.ParseList([]byte(known.Raw), c.settings.Router.Cells); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	c.known.Form = choice.Cached
+	return c, nil
+}
+
+func serve(cfg *config) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.cores))))
+	debug.SetMemoryLimit(int64(float64(cfg.memoryMB) * memoryShare * (1 << 20)))
+	x, err := exchange.New(cfg.seed, cfg.settings)
+	if err != nil {
+		return err
+	}
+	leaves := (cfg.sockets - spareFiles) / leafShare
+	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, Discovery: cfg.discovery, MaxConns: leaves})
+	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves,
+		Shards: cfg.settings.Router.Shards})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ln, err := net.Listen("tcp", cfg.listen)
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	b.Apply(cfg.known, cfg.addrs)
+	go x.Run(b, stop)
+	go b.Run(stop)
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(ln) }()
+	log.Printf("event=start name=%s listen=%s discovery=%s known=%d clients=%d leaves=%d", cfg.name, cfg.listen,
+		cfg.discovery, len(cfg.known.Servers), cfg.sockets-spareFiles-leaves, leaves)
+	tick := time.NewTicker(countersTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			log.Printf("event=counters %s", &x.Counters)
+			continue
+		case err := <-served:
+			return fmt.Errorf("the listener ended: %w", err)
+		case s := <-signals:
+			log.Printf("event=stopping signal=%q open=%d", s, x.Open())
+		}
+		break
+	}
+	f.Stop()
+	time.Sleep(settleTime)
+	settled := func() bool { return x.Open() == 0 && f.Quiet(quietTime) }
+	for !settled() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	// What the kernel accepted while the listener closes is still ours.
+	f.CloseIdle(lastChance)
+	time.Sleep(2 * lastChance)
+	ln.Close()
+	for x.Open() > 0 || !f.Quiet(0) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(stop)
+	log.Printf("event=stopped %s", &x.Counters)
+	return nil
+}
--- /dev/null
+++ b/internal/back/discovery.go
@@ -0,0 +1,231 @@
+package back
+
+// The list of leaf servers. This file owns the watch on discovery and the
+// reading of its answers. It must never let the watch lapse while it is wanted,
+// press a service that fails, or hand on an entry that the router can't hold.
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"saddleport/choice"
+	"saddleport/internal/httpwire"
+	"saddleport/internal/settings"
+)
+
+const (
+	firstWait   = 250 * time.Millisecond // of a new watch: the router waits for a sign that it stands
+	watchWait   = 10 * time.Second
+	answerTime  = 2500 * time.Millisecond // beyond the wait: then the call has failed
+	backoffFrom = 200 * time.Millisecond
+	backoffMost = 2 * time.Second
+)
+
+// watcher makes the calls; its loop alone uses all but on, kick and index.
+type watcher struct {
+	on    atomic.Bool
+	kick  chan struct{}
+	index atomic.Int64 // of the newest list
+}
+
+// Watch starts or ends the watch. One that stands is not started anew.
+func (b *Back) Watch(on bool) {
+	b.watch.on.Store(on)
+	select {
+	case b.watch.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Fetch asks for the whole list once.
+func (b *Back) Fetch() {
+	go func() {
+		var line discoveryLine
+		defer line.close()
+		b.told(line.get(b.Discovery, "/api/targets", answerTime))
+	}()
+}
+
+func (w *watcher) run(b *Back, stop <-chan struct{}) {
+	var line discoveryLine
+	defer line.close()
+	wait, backoff := firstWait, backoffFrom
+	for {
+		for !w.on.Load() {
+			wait = firstWait
+			select {
+			case <-stop:
+				return
+			case <-w.kick:
+			}
+		}
+		path := fmt.Sprintf("/api/targets?index=%d&wait=%d", w.index.Load(), wait.Milliseconds())
+		if b.told(line.get(b.Discovery, path, wait+answerTime)) {
+			// The next call must come at once, or changes in between are lost.
+			wait, backoff = watchWait, backoffFrom
+			continue
+		}
+		line.close()
+		// All mixers share one discovery: they must not come back in step.
+		pause := time.Duration(float64(backoff) * (0.5 + rand.Float64()/2))
+		wait, backoff = firstWait, min(2*backoff, backoffMost)
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// told hands on an answer of discovery, or that there was none.
+func (b *Back) told(body []byte, err error) bool {
+	var list choice.List
+	var addrs map[string]string
+	if err == nil {
+		list, addrs, err = ParseList(body, b.Settings.Router.Cells)
+	}
+	if err != nil {
+		b.Exchange.Counters.ListFails.Add(1)
+		log.Printf("event=discovery-failed addr=%s err=%q", b.Discovery, err)
+		b.Exchange.Listed(choice.List{Form: choice.Failed})
+		return false
+	}
+	b.Exchange.Counters.Lists.Add(1)
+	b.Apply(list, addrs)
+	return true
+}
+
+// Apply takes a list for the connections and hands it to the exchange.
+func (b *Back) Apply(list choice.List, addrs map[string]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watch.index.Store(list.Version)
+	named := make(map[string]bool, len(list.Servers))
+	for _, row := range list.Servers {
+		named[row.ID] = true
+		s := b.servers[row.ID]
+		if s == nil {
+			s = &server{name: row.ID}
+			b.servers[row.ID] = s
+		}
+		if addr := addrs[row.ID]; addr != "" {
+			s.addr = addr
+		}
+		b.mayStart(s, row.State == choice.Ready)
+	}
+	if list.Form != choice.Delta {
+		for name, s := range b.servers {
+			if !named[name] {
+				b.mayStart(s, false)
+			}
+		}
+	}
+	for name, s := range b.servers { // gone for long, with nothing left
+		if s.drained() && !named[name] && len(s.conns) == 0 && len(s.waiting) == 0 && !s.dialing {
+			delete(b.servers, name)
+		}
+	}
+	if len(list.Servers) > 0 || list.Form != choice.Delta {
+		log.Printf("event=list form=%d version=%d entries=%d", list.Form, list.Version, len(list.Servers))
+	}
+	b.Exchange.Listed(list)
+}
+
+// mayStart notes from when on nothing may start on a server.
+func (b *Back) mayStart(s *server, ready bool) {
+	if ready {
+		s.stopAt = time.Time{}
+	} else if s.stopAt.IsZero() {
+		grace := time.Duration(b.Settings.Router.DrainGrace) * time.Microsecond
+		s.stopAt = time.Now().Add(max(grace-drainMargin, 0))
+	}
+}
+
+var states = map[string]choice.State{"SERVING": choice.Ready, "DRAINING": choice.Draining, "DELETED": choice.Gone}
+
+// ParseList reads discovery's form of the list. An entry that can't be used is
+// passed over with a log line: one bad line must not cost the others.
+func ParseList(body []byte, cells int) (list choice.List, addrs map[string]string, err error) {
+	doc := gjson.ParseBytes(body)
+	if !gjson.ValidBytes(body) || !doc.IsObject() {
+		return list, nil, &settings.FieldError{Path: "endpoints", Problem: "not a JSON object"}
+	}
+	index, endpoints := doc.Get("index"), doc.Get("endpoints")
+	if index.Type != gjson.Number || index.Int() < 0 {
+		return list, nil, &settings.FieldError{Path: "index", Problem: "not a whole number"}
+	}
+	if !endpoints.IsArray() {
+		return list, nil, &settings.FieldError{Path: "endpoints", Problem: "not a list"}
+	}
+	list = choice.List{Form: choice.Delta, Version: index.Int()}
+	if doc.Get("snapshot").Bool() {
+		list.Form = choice.Full
+	}
+	addrs = make(map[string]string)
+	for _, e := range endpoints.Array() {
+		s := choice.Server{ID: e.Get("name").String(), Zone: e.Get("zone").String(), Kind: e.Get("type").String(),
+			Cell: int(e.Get("group").Int()), Scale: 1, UpSince: max(e.Get("since_ms").Int(), 0) * 1000}
+		if w := e.Get("weight"); w.Type == gjson.Number {
+			s.Scale = w.Float()
+		}
+		state, known := states[e.Get("status").String()]
+		s.State = state
+		_, _, badAddr := net.SplitHostPort(e.Get("address").String())
+		if s.ID == "" || !known || s.Cell < 0 || s.Cell >= cells || badAddr != nil && state != choice.Gone {
+			log.Printf("event=list-entry-skipped entry=%.120q", e.Raw)
+			continue
+		}
+		list.Servers = append(list.Servers, s)
+		addrs[s.ID] = e.Get("address").String()
+	}
+	return list, addrs, nil
+}
+
+// discoveryLine is a connection to discovery, kept from call to call.
+type discoveryLine struct {
+	nc net.Conn
+	r  *httpwire.Reader
+}
+
+func (l *discoveryLine) close() {
+	if l.nc != nil {
+		l.nc.Close()
+		l.nc = nil
+	}
+}
+
+// get makes one call, which must be over within the time given.
+func (l *discoveryLine) get(addr, path string, within time.Duration) ([]byte, error) {
+	if l.nc == nil {
+		nc, err := net.DialTimeout("tcp", addr, answerTime)
+		if err != nil {
+			return nil, err
+		}
+		l.nc, l.r = nc, httpwire.NewReader(nc)
+	}
+	l.nc.SetDeadline(time.Now().Add(within))
+	if _, err := l.nc.Write(httpwire.AppendGet(nil, addr, path)); err != nil {
+		return nil, err
+	}
+	if err := l.r.Await(); err != nil {
+		return nil, err
+	}
+	p, err := l.r.Response()
+	if err != nil {
+		return nil, err
+	}
+	if !p.KeepAlive {
+		l.close()
+	}
+	if p.Status != 200 {
+		return nil, errors.New("status " + fmt.Sprint(p.Status))
+	}
+	return p.Body, nil
+}
--- /dev/null
+++ b/internal/back/leaf.go
@@ -0,0 +1,570 @@
+// Package back is the client side: it owns the connections to leaf servers, the
+// frames on them, and what discovery tells of where those servers are. It does
+// what the exchange asks and reports how it ended. It must never decide where a
+// part goes, send one twice, start anything on a server that has long been said
+// to drain, or let one silent server hold up another.
+//
+// This file holds the leaf connections; discovery.go holds the list.
+package back
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"saddleport/choice"
+	"saddleport/internal/exchange"
+	"saddleport/internal/settings"
+)
+
+const (
+	maxFrame     = 128 << 10
+	writeTime    = time.Second            // a write that takes longer ends its connection
+	probeTime    = time.Second            // a probe that takes longer has failed
+	connsEach    = 4                      // connections to one server
+	drainMargin  = 500 * time.Millisecond // a send must have left so long before the grace is over
+	staleFor     = 30 * time.Second       // so long may an answer to a part given up still come
+	sweepEvery   = 500 * time.Millisecond
+	dialFallback = 250 * time.Millisecond // where the settings tell no time for it
+	idleShare    = 0.9                    // of the servers' idle time: ours is over first
+)
+
+// Config is what the client side is told at its start.
+type Config struct {
+	Exchange  *exchange.Exchange
+	Settings  settings.Settings
+	Discovery string
+	MaxConns  int // leaf connections at once, those being opened included
+}
+
+// Back is the client side. It implements exchange.Leaves.
+type Back struct {
+	Config
+	watch watcher
+	dial  net.Dialer
+
+	mu      sync.Mutex
+	servers map[string]*server
+	calls   map[*exchange.Attempt]*call
+	conns   int // open or being opened
+}
+
+type server struct {
+	name, addr string
+	stopAt     time.Time // when nothing may start any more; zero: serving
+	conns      []*conn
+	waiting    []*call // for a connection
+	dialing    bool
+}
+
+type state int
+
+const (
+	waiting state = iota // for a connection
+	queued               // on a connection, not begun
+	writing
+	out // its last byte is written
+)
+
+// call is one frame that wants an answer: an attempt or, with none, a probe.
+type call struct {
+	a       *exchange.Attempt
+	s       *server
+	c       *conn
+	state   state
+	begun   time.Time
+	gaveUp  bool
+	verdict choice.Verdict // with gaveUp: how it ends once the server is told
+	done    bool
+}
+
+type item struct {
+	letter byte
+	call   *call
+}
+
+type conn struct {
+	b       *Back
+	s       *server
+	nc      net.Conn
+	addr    string
+	ready   *sync.Cond
+	queue   []item
+	calls   map[string]*call     // attempts by part id, until ended or given up in writing
+	stale   map[string]time.Time // parts given up here, whose answer may still come
+	probes  []*call              // in the order of their frames
+	usedAt  time.Time
+	closed  bool
+	brokeBy error
+}
+
+// New returns a client side that knows no server yet.
+func New(cfg Config) *Back {
+	b := &Back{Config: cfg, servers: make(map[string]*server), calls: make(map[*exchange.Attempt]*call)}
+	b.watch.kick = make(chan struct{}, 1)
+	b.dial.Timeout = time.Duration(cfg.Settings.DialTimeout) * time.Microsecond
+	if b.dial.Timeout <= 0 {
+		b.dial.Timeout = dialFallback
+	}
+	return b
+}
+
+// Run keeps the connections and the watch until stop is closed.
+func (b *Back) Run(stop <-chan struct{}) {
+	go b.watch.run(b, stop)
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+			b.sweep()
+		}
+	}
+}
+
+// ---- What the exchange asks for.
+
+// Send starts an attempt.
+func (b *Back) Send(a *exchange.Attempt) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := &call{a: a, s: b.servers[a.Server], begun: time.Now()}
+	b.calls[a] = k
+	b.place(k)
+}
+
+// GiveUp ends the wait for an attempt: at once if its frame has not been begun,
+// else once the server has been told.
+func (b *Back) GiveUp(a *exchange.Attempt, v choice.Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.calls[a]
+	if k == nil || k.gaveUp {
+		return
+	}
+	k.gaveUp, k.verdict = true, v
+	switch k.state {
+	case waiting, queued:
+		if v == choice.NoAnswer { // it was never sent, so it never ran
+			v = choice.NotSent
+		}
+		b.finish(k, v, nil, "")
+	case out:
+		k.c.push(item{'X', k})
+	}
+}
+
+// Probe tests a server.
+func (b *Back) Probe(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := &call{s: b.servers[name], begun: time.Now()}
+	if k.s == nil {
+		b.Exchange.Probed(name, 0, choice.NotSent, nil)
+		return
+	}
+	b.place(k)
+	time.AfterFunc(probeTime, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.finish(k, choice.NoAnswer, nil, "")
+	})
+}
+
+// Release closes the idle connections to a server.
+func (b *Back) Release(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[name]; s != nil {
+		for _, c := range slices.Clone(s.conns) {
+			if c.idle() {
+				c.fail(nil)
+			}
+		}
+	}
+}
+
+// ---- Under b.mu.
+
+// place finds a call its connection, or has one opened. A connection on which
+// the same part was given up is passed over: a late answer to that would be
+// taken for this one's.
+func (b *Back) place(k *call) {
+	s := k.s
+	if s == nil || s.drained() {
+		b.finish(k, choice.NotSent, nil, "")
+		return
+	}
+	for _, c := range s.conns {
+		if c.addr != s.addr || b.Settings.StreamsPerConn > 0 && len(c.calls) >= b.Settings.StreamsPerConn {
+			continue
+		}
+		letter := byte('P')
+		if b.Settings.PullReports {
+			letter = 'L'
+		}
+		if k.a != nil {
+			letter = 'Q'
+			if _, stale := c.stale[k.a.PartID]; stale || c.calls[k.a.PartID] != nil {
+				continue
+			}
+			c.calls[k.a.PartID] = k
+		}
+		k.c, k.state = c, queued
+		c.push(item{letter, k})
+		return
+	}
+	k.c, k.state = nil, waiting
+	s.waiting = append(s.waiting, k)
+	b.open(s)
+}
+
+func (s *server) drained() bool { return !s.stopAt.IsZero() && !time.Now().Before(s.stopAt) }
+
+// open opens one connection to a server, unless one is being opened or there
+// are enough; what waits then waits for room.
+func (b *Back) open(s *server) {
+	if s.dialing || len(s.conns) >= connsEach {
+		return
+	}
+	if b.conns >= b.MaxConns && !b.evict() {
+		if len(s.conns) == 0 {
+			b.failWaiting(s, errors.New("no descriptor left for a connection"))
+		}
+		return
+	}
+	s.dialing = true
+	b.conns++
+	b.Exchange.Counters.Dials.Add(1)
+	go b.connect(s, s.addr)
+}
+
+// evict closes the leaf connection that has idled longest.
+func (b *Back) evict() bool {
+	var oldest *conn
+	for _, s := range b.servers {
+		for _, c := range s.conns {
+			if c.idle() && (oldest == nil || c.usedAt.Before(oldest.usedAt)) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.fail(nil)
+	}
+	return oldest != nil
+}
+
+func (b *Back) failWaiting(s *server, err error) {
+	b.Exchange.Counters.DialFails.Add(1)
+	log.Printf("event=dial-failed server=%s addr=%s waiting=%d err=%q", s.name, s.addr, len(s.waiting), err)
+	failed := s.waiting
+	s.waiting = nil
+	for _, k := range failed {
+		b.finish(k, choice.NoConnection, nil, "")
+	}
+}
+
+func (b *Back) connect(s *server, addr string) {
+	nc, err := b.dial.Dial("tcp", addr)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.dialing = false
+	if err != nil || addr != s.addr {
+		b.conns--
+		if nc != nil {
+			nc.Close()
+		}
+		if err != nil {
+			b.failWaiting(s, err)
+		} else if len(s.waiting) > 0 {
+			b.open(s)
+		}
+		return
+	}
+	c := &conn{b: b, s: s, nc: nc, addr: addr, ready: sync.NewCond(&b.mu), usedAt: time.Now(),
+		calls: make(map[string]*call), stale: make(map[string]time.Time)}
+	s.conns = append(s.conns, c)
+	go c.write()
+	go c.read()
+	b.pump(s)
+}
+
+// pump places what has waited for a connection.
+func (b *Back) pump(s *server) {
+	ready := s.waiting
+	s.waiting = nil
+	for _, k := range ready {
+		b.place(k)
+	}
+}
+
+// finish ends a call, once.
+func (b *Back) finish(k *call, v choice.Verdict, load []choice.Reading, value string) {
+	if k.done {
+		return
+	}
+	k.done = true
+	if k.state == waiting && k.s != nil {
+		k.s.waiting = slices.DeleteFunc(k.s.waiting, func(o *call) bool { return o == k })
+	}
+	if k.a == nil {
+		b.Exchange.Probed(k.s.name, time.Since(k.begun), v, load)
+		return
+	}
+	delete(b.calls, k.a)
+	if k.c != nil && k.c.calls[k.a.PartID] == k {
+		delete(k.c.calls, k.a.PartID)
+	}
+	b.Exchange.Ended(k.a, v, load, value)
+	if k.c != nil && len(k.s.waiting) > 0 { // there is room on a connection
+		b.pump(k.s)
+	}
+}
+
+// sweep closes what has idled and forgets what can't come any more.
+func (b *Back) sweep() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	keep := time.Duration(float64(b.Settings.Router.Keepalive)*idleShare) * time.Microsecond
+	for _, s := range b.servers {
+		for _, c := range slices.Clone(s.conns) {
+			if c.idle() && (c.addr != s.addr || keep > 0 && time.Since(c.usedAt) > keep) {
+				c.fail(nil)
+				continue
+			}
+			for id, at := range c.stale {
+				if time.Since(at) > staleFor {
+					delete(c.stale, id)
+				}
+			}
+		}
+	}
+}
+
+func (c *conn) idle() bool { return len(c.calls) == 0 && len(c.queue) == 0 && len(c.probes) == 0 }
+
+func (c *conn) push(i item) {
+	c.queue = append(c.queue, i)
+	c.ready.Signal()
+}
+
+// fail closes a connection and ends what was out on it; err is nil where the
+// close is ours. What had not been begun goes to another connection.
+func (c *conn) fail(err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.nc.Close()
+	c.ready.Signal()
+	b, s := c.b, c.s
+	b.conns--
+	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
+	if err != nil && len(c.calls) > 0 {
+		b.Exchange.Counters.Resets.Add(1)
+		log.Printf("event=leaf-lost server=%s addr=%s parts=%d err=%q", s.name, c.addr, len(c.calls), err)
+	}
+	var again []*call
+	for _, i := range c.queue {
+		if i.letter != 'X' && !i.call.done {
+			again = append(again, i.call)
+		}
+	}
+	c.queue = nil
+	for _, k := range c.calls {
+		if k.state == out {
+			c.lose(k)
+		}
+	}
+	for _, k := range c.probes {
+		b.finish(k, choice.ConnectionLost, nil, "")
+	}
+	for _, k := range again {
+		b.place(k)
+	}
+}
+
+// lose ends a call whose frame was written whole when its connection ended.
+func (c *conn) lose(k *call) {
+	v := choice.ConnectionLost
+	if k.gaveUp {
+		v = k.verdict
+	}
+	c.b.finish(k, v, nil, "")
+}
+
+// ---- The two goroutines of a connection.
+
+func (c *conn) write() {
+	b := c.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		for len(c.queue) == 0 && !c.closed {
+			c.ready.Wait()
+		}
+		if c.closed {
+			return
+		}
+		i := c.queue[0]
+		c.queue = c.queue[1:]
+		k := i.call
+		if k.done {
+			continue
+		}
+		if i.letter != 'X' && c.s.drained() { // it waited too long: nothing may start here any more
+			b.finish(k, choice.NotSent, nil, "")
+			continue
+		}
+		var frame []byte
+		switch i.letter {
+		case 'Q':
+			k.state = writing
+			ms := max((time.Until(k.a.Until)+time.Millisecond-1)/time.Millisecond, 1)
+			frame = appendFrame(nil, 'Q', fmt.Sprintf("%s %d d=%d %d\n%s", k.a.PartID, k.a.Shard, ms, len(k.a.Text), k.a.Text))
+		case 'X':
+			frame = appendFrame(nil, 'X', k.a.PartID)
+		default:
+			k.state = writing
+			c.probes = append(c.probes, k)
+			frame = appendFrame(nil, i.letter, "")
+		}
+		c.usedAt = time.Now()
+		b.mu.Unlock()
+		c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+		_, err := c.nc.Write(frame)
+		b.mu.Lock()
+		switch {
+		case err != nil:
+			// The last byte of this frame was never handed over.
+			if i.letter == 'Q' {
+				b.finish(k, choice.NoConnection, nil, "")
+			}
+			c.fail(err)
+		case i.letter == 'X':
+			if !k.done {
+				c.stale[k.a.PartID] = time.Now()
+				b.finish(k, k.verdict, nil, "")
+			}
+		case k.done:
+		case c.closed:
+			c.lose(k)
+		default:
+			k.state = out
+			if k.gaveUp {
+				c.push(item{'X', k})
+			}
+		}
+	}
+}
+
+func appendFrame(b []byte, letter byte, rest string) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(1+len(rest)))
+	return append(append(b, letter), rest...)
+}
+
+func (c *conn) read() {
+	r := bufio.NewReader(c.nc)
+	for {
+		err := c.frame(r)
+		if err != nil {
+			c.b.mu.Lock()
+			c.fail(err)
+			c.b.mu.Unlock()
+			return
+		}
+	}
+}
+
+// frame reads one frame and does what it says.
+func (c *conn) frame(r *bufio.Reader) error {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n < 1 || n > maxFrame {
+		return fmt.Errorf("malformed frame: length %d", n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	switch letter, rest := body[0], body[1:]; letter {
+	case 'A':
+		return c.answer(rest)
+	case 'P', 'L':
+		return c.probed(rest)
+	case 'E':
+		return fmt.Errorf("refused frame: %.80q", rest)
+	default:
+		return fmt.Errorf("malformed frame: letter %q", letter)
+	}
+}
+
+var ends = map[string]choice.Verdict{"ok": choice.Served, "err": choice.ServerError, "busy": choice.TurnedAway}
+
+func (c *conn) answer(rest []byte) error {
+	line, value, ok := bytes.Cut(rest, []byte("\n"))
+	fields := strings.Split(string(line), " ")
+	if !ok || len(fields) != 4 {
+		return errors.New("malformed answer: not four fields")
+	}
+	v, known := ends[fields[1]]
+	if !known {
+		return fmt.Errorf("malformed answer: end %.20q", fields[1])
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.usedAt = time.Now()
+	k := c.calls[fields[0]]
+	if k == nil || k.state != writing && k.state != out {
+		// To a part given up here, whose answer was on its way.
+		delete(c.stale, fields[0])
+		c.b.Exchange.Counters.Late.Add(1)
+		return nil
+	}
+	c.b.finish(k, v, report(fields[3]), string(value))
+	return nil
+}
+
+func (c *conn) probed(rest []byte) error {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.usedAt = time.Now()
+	if len(c.probes) == 0 {
+		return errors.New("malformed frame: answer to no probe")
+	}
+	k := c.probes[0]
+	c.probes = c.probes[1:]
+	if string(rest) == "err" {
+		c.b.finish(k, choice.ServerError, nil, "")
+	} else {
+		c.b.finish(k, choice.Served, report(string(rest)), "")
+	}
+	return nil
+}
+
+// report reads a load report; what it does not understand is passed over.
+func report(s string) []choice.Reading {
+	var load []choice.Reading
+	for pair := range strings.SplitSeq(s, ",") {
+		name, value, ok := strings.Cut(pair, "=")
+		if f, err := settings.ParseNumber(value); ok && err == nil {
+			load = append(load, choice.Reading{Name: name, Value: f})
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/internal/exchange/counters.go
@@ -0,0 +1,69 @@
+package exchange
+
+// Counters own the figures that on-call staff ask for. They count; they must
+// never be read to decide anything.
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+)
+
+// Counters count what is taken in, sent and answered since the start.
+type Counters struct {
+	Taken    atomic.Int64 // queries taken
+	Repeated atomic.Int64 // of these, the id was held already
+	Full     atomic.Int64 // of these, refused for want of room in memory
+	Overdue  atomic.Int64 // queries that the last guard ended
+	Finals   [5]atomic.Int64
+	Partial  atomic.Int64 // answers not marked whole
+	Sent     atomic.Int64 // attempts handed to the client side
+	Unsent   atomic.Int64 // attempts that were never handed over
+	Outcomes [8]atomic.Int64
+	Probes   atomic.Int64
+
+	Clients   atomic.Int64 // client connections open
+	Accepted  atomic.Int64 // client connections accepted
+	Malformed atomic.Int64 // requests answered 4xx or 5xx by the framing
+	Dials     atomic.Int64 // leaf connections tried
+	DialFails atomic.Int64
+	Resets    atomic.Int64 // leaf connections that ended under parts
+	Late      atomic.Int64 // answers for attempts already given up
+	Lists     atomic.Int64 // answers of discovery
+	ListFails atomic.Int64
+}
+
+var endings = [5]string{"answered", "refused", "failed", "expired", "gone"}
+
+var verdicts = [8]string{"served", "server_error", "turned_away", "no_answer", "no_connection",
+	"connection_lost", "called_off", "not_sent"}
+
+// String gives every counter as key=value.
+func (c *Counters) String() string {
+	var b strings.Builder
+	put := func(name string, v *atomic.Int64) { fmt.Fprintf(&b, "%s=%d ", name, v.Load()) }
+	put("taken", &c.Taken)
+	put("repeated", &c.Repeated)
+	put("full", &c.Full)
+	put("overdue", &c.Overdue)
+	for i := range c.Finals {
+		put(endings[i], &c.Finals[i])
+	}
+	put("partial", &c.Partial)
+	put("sent", &c.Sent)
+	put("unsent", &c.Unsent)
+	for i := range c.Outcomes {
+		put(verdicts[i], &c.Outcomes[i])
+	}
+	put("probes", &c.Probes)
+	put("clients", &c.Clients)
+	put("accepted", &c.Accepted)
+	put("malformed", &c.Malformed)
+	put("dials", &c.Dials)
+	put("dial_fails", &c.DialFails)
+	put("resets", &c.Resets)
+	put("late", &c.Late)
+	put("lists", &c.Lists)
+	put("list_fails", &c.ListFails)
+	return strings.TrimSpace(b.String())
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,484 @@
+// Package exchange is where the server side and the client side meet. It owns
+// the choice.Router and all that is held for it: queries, their parts, the
+// attempts that are out, the timers. One goroutine alone touches these; the two
+// sides hand it what happened and are called back with what to do. It must never
+// read or write a socket, block on a side, give a query two final answers or an
+// attempt two outcomes.
+package exchange
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"log"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saddleport/choice"
+	"saddleport/internal/settings"
+)
+
+// Query is a query as the server side took it.
+type Query struct {
+	ID       string
+	Class    string
+	Key      string
+	Tenant   string
+	Text     string // what each part carries, unchanged
+	Repeat   bool
+	TakenAt  time.Time     // when its first byte was seen
+	Patience time.Duration // how long the client waits, from TakenAt
+	Parts    []Part
+	// Done gets the one final answer, on the exchange's goroutine: it must not block.
+	Done func(Final)
+}
+
+// Part is one part of a Query.
+type Part struct {
+	Shard  int
+	Weight float64
+	Key    string
+	Hinted bool
+	Cost   choice.Micros
+}
+
+// Ending says how a query ended.
+type Ending int
+
+// The endings of a query. Only Refused promises that asking again does no harm.
+const (
+	Answered Ending = iota
+	Refused
+	Failed
+	Expired // failed, for the client's time was up
+	Gone    // nobody is there to be answered
+)
+
+// Final is the one final answer of a query.
+type Final struct {
+	Ending     Ending
+	Whole      bool
+	Hits       []Hit
+	RetryAfter time.Duration // 0: no advice
+}
+
+// Hit is the value of one part, as a leaf server gave it.
+type Hit struct {
+	Shard int
+	Value string
+}
+
+// Attempt is one attempt of a part. All but the unexported fields are fixed
+// before the client side gets it.
+type Attempt struct {
+	PartID string
+	Server string
+	Index  int
+	Shard  int
+	Text   string
+	Until  time.Time // when the mixer stops waiting
+
+	sentAt time.Time
+	part   *part
+	ended  bool
+	giving bool // given up: the client side will end it
+}
+
+// Leaves is the client side. Its methods must not block; each attempt that is
+// sent must come back by Ended, soon after GiveUp at the latest.
+type Leaves interface {
+	Send(*Attempt)
+	GiveUp(*Attempt, choice.Verdict)
+	Probe(server string)
+	Release(server string)
+	Watch(on bool)
+	Fetch()
+}
+
+// maxWait bounds every span that a peer or the module names.
+const maxWait = 71 * time.Minute
+
+type part struct {
+	Part
+	id       string
+	q        *held
+	attempts []*Attempt
+	out      int
+	served   bool
+	value    string
+}
+
+type held struct {
+	*Query
+	parts    []*part
+	deadline time.Time
+	ended    bool
+}
+
+type timer struct {
+	at   time.Time
+	fire func()
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return x
+}
+
+// Exchange hands events to the decisions and actions to the two sides.
+type Exchange struct {
+	Counters Counters
+
+	set    settings.Settings
+	leaves Leaves
+	start  time.Time
+	origin choice.Micros
+
+	mu   sync.Mutex
+	in   []func()
+	wake chan struct{}
+	open atomic.Int64
+
+	// Owned by Run's goroutine.
+	router  *choice.Router
+	events  []choice.Event
+	guards  []func() // to run once the events at hand have been decided on
+	queries map[string]*held
+	parts   map[string]*part
+	numbers int64
+	timers  timers
+}
+
+// New returns an exchange; Run starts it. The clock handed to the decisions
+// starts at the Unix time, so that the list's start times need no origin of
+// their own, and from there on it is monotonic.
+func New(seed uint64, set settings.Settings) (*Exchange, error) {
+	router, err := choice.New(seed, set.Router)
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range set.Router.Classes {
+		if c.Fetch > 0 {
+			return nil, fmt.Errorf("setting Classes: %s: Fetch %d: the protocol has no second step", c.Name, c.Fetch)
+		}
+	}
+	start := time.Now()
+	return &Exchange{
+		set:     set,
+		start:   start,
+		origin:  start.UnixMicro(),
+		wake:    make(chan struct{}, 1),
+		router:  router,
+		queries: make(map[string]*held),
+		parts:   make(map[string]*part),
+	}, nil
+}
+
+// Clock converts a time to the decisions' clock.
+func (x *Exchange) Clock(t time.Time) choice.Micros {
+	return x.origin + t.Sub(x.start).Microseconds()
+}
+
+// Open counts the queries without a final answer.
+func (x *Exchange) Open() int { return int(x.open.Load()) }
+
+// ---- What the sides hand in, from any goroutine.
+
+func (x *Exchange) post(f func()) {
+	x.mu.Lock()
+	x.in = append(x.in, f)
+	x.mu.Unlock()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Take hands in a query. Its Done is called exactly once.
+func (x *Exchange) Take(q *Query) {
+	x.open.Add(1)
+	x.Counters.Taken.Add(1)
+	x.post(func() { x.take(q) })
+}
+
+// Left says that the client of a query has gone; a query that has ended is let be.
+func (x *Exchange) Left(q *Query) {
+	x.post(func() {
+		if h := x.queries[q.ID]; h != nil && h.Query == q {
+			x.events = append(x.events, choice.ClientLeft{ID: q.ID})
+			x.end(h, Final{Ending: Gone})
+		}
+	})
+}
+
+// Ended ends an attempt. Only the first call for an attempt counts.
+func (x *Exchange) Ended(a *Attempt, v choice.Verdict, load []choice.Reading, value string) {
+	x.post(func() { x.outcome(a, v, load, value) })
+}
+
+// Probed ends a probe.
+func (x *Exchange) Probed(server string, delay time.Duration, v choice.Verdict, load []choice.Reading) {
+	x.post(func() {
+		x.events = append(x.events, choice.ProbeResult{Server: server, Delay: delay.Microseconds(), Verdict: v, Load: load})
+	})
+}
+
+// Listed hands in news of the server list.
+func (x *Exchange) Listed(l choice.List) {
+	x.post(func() { x.events = append(x.events, l) })
+}
+
+// ---- The owner's goroutine.
+
+// Run serves until stop is closed. What is open then is left without an answer.
+func (x *Exchange) Run(leaves Leaves, stop <-chan struct{}) {
+	x.leaves = leaves
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-x.wake:
+		case <-alarm.C:
+		}
+		x.turn()
+		next := maxWait
+		if len(x.timers) > 0 {
+			next = max(time.Until(x.timers[0].at), 0)
+		}
+		alarm.Reset(next)
+	}
+}
+
+// turn gathers what has come in and what is due, lets the router decide, and
+// hands out what it decided.
+func (x *Exchange) turn() {
+	x.mu.Lock()
+	in := x.in
+	x.in = nil
+	x.mu.Unlock()
+	for _, f := range in {
+		f()
+	}
+	now := time.Now()
+	for len(x.timers) > 0 && !x.timers[0].at.After(now) {
+		heap.Pop(&x.timers).(timer).fire()
+	}
+	if len(x.events) > 0 {
+		events := x.events
+		x.events = nil
+		for _, a := range x.router.Step(x.Clock(now), events) {
+			x.act(now, a)
+		}
+	}
+	guards := x.guards
+	x.guards = nil
+	for _, f := range guards {
+		f()
+	}
+}
+
+func (x *Exchange) after(at time.Time, fire func()) { heap.Push(&x.timers, timer{at, fire}) }
+
+func (x *Exchange) take(q *Query) {
+	if x.queries[q.ID] != nil {
+		// A second query of an id that is held would share its parts' ids: it is
+		// no new query, and its parts may not go out twice.
+		x.Counters.Repeated.Add(1)
+		x.final(q, Final{Ending: Failed})
+		return
+	}
+	if x.set.MostHeld > 0 && len(x.queries)+len(x.parts) >= x.set.MostHeld {
+		x.Counters.Full.Add(1)
+		x.final(q, Final{Ending: Refused, RetryAfter: x.advice(q.Class)})
+		return
+	}
+	x.numbers++
+	h := &held{Query: q, deadline: q.TakenAt.Add(q.Patience)}
+	x.queries[q.ID] = h
+	ev := choice.Query{ID: q.ID, Class: q.Class, Number: x.numbers, Key: q.Key, Tenant: q.Tenant,
+		Grace:  max(time.Until(h.deadline).Microseconds(), 0),
+		Repeat: q.Repeat, Parts: len(q.Parts), Hinted: true}
+	for _, p := range q.Parts {
+		ev.Hinted = ev.Hinted && p.Hinted
+		ev.Predicted += p.Cost
+	}
+	if !ev.Hinted {
+		ev.Predicted = 0
+	}
+	// The query and all its parts go into one Step: alone it looks empty.
+	x.events = append(x.events, ev)
+	for _, p := range q.Parts {
+		mine := &part{Part: p, id: q.ID + "." + strconv.Itoa(p.Shard), q: h}
+		h.parts = append(h.parts, mine)
+		x.parts[mine.id] = mine
+		x.events = append(x.events, choice.Part{ID: mine.id, Class: q.Class, Number: ev.Number, Key: p.Key,
+			Shard: p.Shard, Weight: p.Weight, Hinted: p.Hinted, Predicted: p.Cost})
+	}
+	x.after(h.deadline, func() { x.guards = append(x.guards, func() { x.overdue(h) }) })
+}
+
+// overdue is the last guard: a client whose time is up gets an answer though
+// the router has not given one.
+func (x *Exchange) overdue(h *held) {
+	if h.ended {
+		return
+	}
+	log.Printf("event=overdue id=%s class=%s", h.ID, h.Class)
+	x.Counters.Overdue.Add(1)
+	x.end(h, Final{Ending: Expired})
+	x.events = append(x.events, choice.ClientLeft{ID: h.ID})
+	x.post(func() {})
+}
+
+// advice tells a client that finds the mixer full when to come back.
+func (x *Exchange) advice(class string) time.Duration {
+	for _, c := range x.set.Router.Classes {
+		if c.Name == class {
+			return time.Duration(min(c.Aim/4, x.set.Router.MaxRetryAfter)) * time.Microsecond
+		}
+	}
+	return 0
+}
+
+func (x *Exchange) act(now time.Time, action choice.Action) {
+	switch a := action.(type) {
+	case choice.Send:
+		x.send(now, a)
+	case choice.Cancel:
+		if p := x.parts[a.ID]; p != nil && a.Attempt < len(p.attempts) {
+			x.giveUp(p.attempts[a.Attempt], choice.CalledOff)
+		}
+	case choice.Answer:
+		if h := x.queries[a.ID]; h != nil {
+			final := Final{Ending: Answered, Whole: a.Whole}
+			for _, p := range h.parts {
+				if p.served {
+					final.Hits = append(final.Hits, Hit{p.Shard, p.value})
+				}
+			}
+			x.end(h, final)
+		}
+	case choice.Refuse:
+		if h := x.queries[a.ID]; h != nil {
+			x.end(h, Final{Ending: Refused, RetryAfter: time.Duration(a.RetryAfter) * time.Microsecond})
+		}
+	case choice.Fail:
+		if h := x.queries[a.ID]; h != nil {
+			x.end(h, Final{Ending: Failed})
+		}
+	case choice.Wake:
+		token := a.Token
+		x.after(now.Add(span(a.Delay)), func() { x.events = append(x.events, choice.Elapsed{Token: token}) })
+	case choice.Probe:
+		x.Counters.Probes.Add(1)
+		x.leaves.Probe(a.Server)
+	case choice.Release:
+		x.leaves.Release(a.Server)
+	case choice.Watch:
+		x.leaves.Watch(a.On)
+	case choice.Fetch:
+		x.leaves.Fetch()
+	case choice.Log:
+		log.Printf("event=decision text=%q", a.Text)
+	case choice.Tell:
+		log.Printf("event=untold err=%q", errors.New("this platform has no way between mixers"))
+	}
+}
+
+func span(d choice.Micros) time.Duration {
+	return min(time.Duration(max(d, 0))*time.Microsecond, maxWait)
+}
+
+func (x *Exchange) send(now time.Time, s choice.Send) {
+	p := x.parts[s.ID]
+	if p == nil {
+		return
+	}
+	a := &Attempt{PartID: p.id, Server: s.Server, Index: len(p.attempts), Shard: p.Shard, Text: p.q.Text,
+		sentAt: now, part: p}
+	p.attempts = append(p.attempts, a)
+	p.out++
+	left := p.q.deadline.Sub(now)
+	if s.Timeout != 0 {
+		left = min(span(s.Timeout), left)
+	}
+	a.Until = now.Add(left)
+	// Never out: the query has ended, its time has run out, an attempt is still
+	// out, or the part has had all its attempts.
+	if p.q.ended || left <= 0 || len(p.attempts) > x.set.Router.AttemptCap ||
+		p.out > 1 && !x.set.Router.ParallelTries {
+		x.Counters.Unsent.Add(1)
+		x.Ended(a, choice.NotSent, nil, "")
+		return
+	}
+	x.Counters.Sent.Add(1)
+	x.after(a.Until, func() { x.giveUp(a, choice.NoAnswer) })
+	x.leaves.Send(a)
+}
+
+// giveUp stops waiting for an attempt. Its outcome comes once the client side
+// has told the leaf server, so that no further attempt goes out before that.
+func (x *Exchange) giveUp(a *Attempt, v choice.Verdict) {
+	if !a.ended && !a.giving {
+		a.giving = true
+		x.leaves.GiveUp(a, v)
+	}
+}
+
+func (x *Exchange) outcome(a *Attempt, v choice.Verdict, load []choice.Reading, value string) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	p := a.part
+	p.out--
+	x.Counters.Outcomes[v].Add(1)
+	if v == choice.Served && !p.q.ended {
+		p.served, p.value = true, value
+	}
+	x.events = append(x.events, choice.Outcome{ID: p.id, Server: a.Server, Delay: time.Since(a.sentAt).Microseconds(),
+		Closed: p.served || p.q.ended, Attempt: a.Index, Verdict: v, Load: load})
+	x.forget(p)
+}
+
+// end gives a query its final answer. Its attempts that are still out end as
+// they would have: the router cancels them where that is permitted.
+func (x *Exchange) end(h *held, f Final) {
+	if h.ended {
+		return
+	}
+	h.ended = true
+	delete(x.queries, h.ID)
+	for _, p := range h.parts {
+		x.forget(p)
+	}
+	x.final(h.Query, f)
+}
+
+func (x *Exchange) forget(p *part) {
+	if p.q.ended && p.out == 0 {
+		delete(x.parts, p.id)
+	}
+}
+
+func (x *Exchange) final(q *Query, f Final) {
+	x.Counters.Finals[f.Ending].Add(1)
+	if f.Ending == Answered && !f.Whole {
+		x.Counters.Partial.Add(1)
+	}
+	q.Done(f)
+	x.open.Add(-1)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,405 @@
+// Package front is the server side: it owns the listener, the client
+// connections and the platform's form of queries and answers. It turns requests
+// into the exchange's queries and finals into responses. It must never decide
+// what becomes of a query, answer 429 or 503 for anything but a refusal, end a
+// connection that is owed an answer, or let one client hold up another.
+package front
+
+import (
+	"errors"
+	"io"
+	"log"
+	"math"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"saddleport/choice"
+	"saddleport/internal/exchange"
+	"saddleport/internal/httpwire"
+)
+
+const (
+	requestTime = 10 * time.Second // for a request's bytes, from the first one on
+	idleTime    = 2 * time.Minute  // between requests
+	writeTime   = 5 * time.Second  // for an answer
+	lingerTime  = 500 * time.Millisecond
+	travel      = 2 * time.Millisecond // a request may have been so long on its way
+	acceptPause = 10 * time.Millisecond
+	maxPatience = 71 * time.Minute
+	maxID       = 128
+)
+
+// Config is what the server side is told at its start.
+type Config struct {
+	Exchange   *exchange.Exchange
+	MaxClients int // connections at once
+	Shards     int // 0: not told
+}
+
+// Front is the server side.
+type Front struct {
+	Config
+	stopping atomic.Bool
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	active time.Time // a request or connection came last
+	busy   int       // connections with a request in hand
+	room   chan struct{}
+}
+
+type conn struct {
+	f      *Front
+	nc     net.Conn
+	r      *httpwire.Reader
+	idleAt time.Time // since when it waits for a request; zero: it has one in hand
+}
+
+// New returns a server side.
+func New(cfg Config) *Front {
+	return &Front{Config: cfg, conns: make(map[*conn]struct{}), room: make(chan struct{}, cfg.MaxClients)}
+}
+
+// Serve accepts connections until the listener is closed.
+func (f *Front) Serve(ln net.Listener) error {
+	for {
+		// Connections that find no room wait unaccepted: a descriptor too many
+		// would cost more than their wait does.
+		select {
+		case f.room <- struct{}{}:
+		default:
+			f.evict()
+			f.room <- struct{}{}
+		}
+		nc, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			<-f.room
+			log.Printf("event=accept-failed err=%q", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := &conn{f: f, nc: nc, r: httpwire.NewReader(nc), idleAt: time.Now()}
+		f.mu.Lock()
+		f.conns[c] = struct{}{}
+		f.active = time.Now()
+		f.mu.Unlock()
+		f.Exchange.Counters.Accepted.Add(1)
+		f.Exchange.Counters.Clients.Add(1)
+		go c.serve()
+	}
+}
+
+// evict ends the wait of the connection that has idled longest.
+func (f *Front) evict() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var oldest *conn
+	for c := range f.conns {
+		if !c.idleAt.IsZero() && (oldest == nil || c.idleAt.Before(oldest.idleAt)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.nc.SetReadDeadline(time.Now())
+	}
+}
+
+// Stop makes the mixer not ready. It goes on serving, and tells each client with
+// its answer that the connection ends.
+func (f *Front) Stop() { f.stopping.Store(true) }
+
+// Quiet tells whether nothing has come for so long and nothing is in hand.
+func (f *Front) Quiet(span time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.busy == 0 && time.Since(f.active) >= span
+}
+
+// CloseIdle ends the wait on idle connections after a last chance for a request
+// that is on its way.
+func (f *Front) CloseIdle(chance time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if !c.idleAt.IsZero() {
+			c.nc.SetReadDeadline(time.Now().Add(chance))
+		}
+	}
+}
+
+// begin and rest note whether a connection has a request in hand.
+func (c *conn) begin() {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	if !c.idleAt.IsZero() {
+		c.idleAt = time.Time{}
+		c.f.busy++
+	}
+	c.f.active = time.Now()
+}
+
+func (c *conn) rest() {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	if c.idleAt.IsZero() {
+		c.idleAt = time.Now()
+		c.f.busy--
+	}
+	c.nc.SetReadDeadline(time.Now().Add(idleTime))
+}
+
+// serve takes the requests of one connection, one after another.
+func (c *conn) serve() {
+	defer func() {
+		c.rest()
+		c.nc.Close()
+		c.f.mu.Lock()
+		delete(c.f.conns, c)
+		c.f.mu.Unlock()
+		c.f.Exchange.Counters.Clients.Add(-1)
+		<-c.f.room
+	}()
+	c.rest()
+	for {
+		if c.r.Await() != nil {
+			return
+		}
+		at := time.Now()
+		c.begin()
+		c.nc.SetReadDeadline(at.Add(requestTime))
+		q, err := c.r.Request(func() error {
+			_, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			return err
+		})
+		if err != nil {
+			c.reject(err)
+			return
+		}
+		if !c.handle(q, at) {
+			return
+		}
+		c.rest()
+	}
+}
+
+// reject answers a request that could not be read, where anybody is there to be
+// answered, and reads on for a moment: closed at once, the answer might be lost.
+func (c *conn) reject(err error) {
+	var known *httpwire.Error
+	var timeout net.Error
+	switch {
+	case errors.As(err, &known):
+	case errors.As(err, &timeout) && timeout.Timeout():
+		known = &httpwire.Error{Status: 408, Reason: "request took too long"}
+	default:
+		return
+	}
+	c.f.Exchange.Counters.Malformed.Add(1)
+	log.Printf("event=bad-request peer=%s status=%d err=%q", c.nc.RemoteAddr(), known.Status, known.Reason)
+	if !c.write(known.Status, known.Reason+"\n", false) {
+		return
+	}
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	io.Copy(io.Discard, io.LimitReader(c.nc, 4*httpwire.MaxBody))
+}
+
+func (c *conn) write(status int, text string, keep bool, fields ...httpwire.Field) bool {
+	return c.put(httpwire.AppendResponse(nil, status, "text/plain; charset=utf-8", []byte(text), keep, fields...)) && keep
+}
+
+func (c *conn) put(b []byte) bool {
+	c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := c.nc.Write(b)
+	return err == nil
+}
+
+// handle answers one request and tells whether the connection goes on.
+func (c *conn) handle(q *httpwire.Request, at time.Time) bool {
+	keep := q.KeepAlive && !c.f.stopping.Load()
+	method := "GET"
+	if q.Path == "/api" {
+		method = "POST"
+	}
+	switch q.Path {
+	case "/api", "/-/ready", "/-/healthy", "/-/counters":
+	default:
+		return c.write(404, "no such path\n", keep)
+	}
+	if q.Method != method {
+		return c.write(405, "only "+method+" here\n", keep, httpwire.Field{Name: "Allow", Value: method})
+	}
+	switch q.Path {
+	case "/-/ready":
+		if c.f.stopping.Load() {
+			return c.write(503, "stopping\n", false)
+		}
+		return c.write(200, "ready\n", keep)
+	case "/-/healthy":
+		return c.write(200, "healthy\n", keep)
+	case "/-/counters":
+		return c.write(200, c.f.Exchange.Counters.String()+"\n", keep)
+	}
+	query, err := c.f.query(q, at)
+	if err != nil {
+		c.f.Exchange.Counters.Malformed.Add(1)
+		log.Printf("event=bad-query peer=%s err=%q", c.nc.RemoteAddr(), err)
+		return c.write(400, err.Error()+"\n", keep)
+	}
+	return c.exchange(query, q.KeepAlive)
+}
+
+// exchange hands a query in and waits for its end or the client's. A client's
+// next request may come meanwhile; it is left unread until this one is answered.
+func (c *conn) exchange(q *exchange.Query, keep bool) bool {
+	final := make(chan exchange.Final, 1)
+	q.Done = func(f exchange.Final) { final <- f }
+	c.nc.SetReadDeadline(time.Time{})
+	next := make(chan error, 1)
+	c.f.Exchange.Take(q)
+	go func() { next <- c.r.Await() }()
+	var f exchange.Final
+	gone := false
+	select {
+	case f = <-final:
+	case err := <-next:
+		next <- nil
+		if gone = err != nil; gone {
+			c.f.Exchange.Left(q)
+		}
+		f = <-final
+	}
+	keep = keep && !c.f.stopping.Load()
+	if gone || !c.answer(f, keep) || !keep {
+		c.nc.SetReadDeadline(time.Now()) // frees the goroutine that waits for a request
+		<-next
+		return false
+	}
+	c.rest()
+	return <-next == nil
+}
+
+// answer writes a query's final answer. 429 and 503 promise that asking again
+// does no harm, so nothing but a refusal may use them.
+func (c *conn) answer(f exchange.Final, keep bool) bool {
+	switch f.Ending {
+	case exchange.Answered:
+		body := []byte(`{"complete":`)
+		body = strconv.AppendBool(body, f.Whole)
+		body = append(body, `,"hits":[`...)
+		for i, h := range f.Hits {
+			if i > 0 {
+				body = append(body, ',')
+			}
+			body = append(body, `{"shard":`...)
+			body = strconv.AppendInt(body, int64(h.Shard), 10)
+			body = append(body, `,"doc":`...)
+			body = gjson.AppendJSONString(body, h.Value)
+			body = append(body, '}')
+		}
+		body = append(body, "]}"...)
+		return c.put(httpwire.AppendResponse(nil, 200, "application/json", body, keep))
+	case exchange.Refused:
+		var fields []httpwire.Field
+		if f.RetryAfter > 0 {
+			after := strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64)
+			fields = append(fields, httpwire.Field{Name: "Retry-After", Value: after})
+		}
+		c.write(503, "refused\n", keep, fields...)
+	case exchange.Expired:
+		c.write(504, "time is up\n", keep)
+	default:
+		c.write(502, "failed\n", keep)
+	}
+	return keep
+}
+
+// query reads a query out of a request.
+func (f *Front) query(r *httpwire.Request, at time.Time) (*exchange.Query, error) {
+	q := &exchange.Query{ID: r.Header.Get("X-Trace-Id"), Class: r.Header.Get("X-Qos"),
+		Repeat: r.Header.Get("X-Second-Try") == "1", TakenAt: at}
+	if !printable(q.ID) {
+		return nil, errors.New("X-Trace-Id: not a printable word of 1 to 128 characters")
+	}
+	if q.Class == "" {
+		return nil, errors.New("X-Qos: missing")
+	}
+	patience, err := span(r.Header.Get("X-Expires-In"))
+	if err != nil {
+		return nil, err
+	}
+	q.Patience = max(patience-travel, 0)
+	doc := gjson.ParseBytes(r.Body)
+	if !gjson.ValidBytes(r.Body) || !doc.IsObject() {
+		return nil, errors.New("body: not a JSON object")
+	}
+	text, shards := doc.Get("q"), doc.Get("shards")
+	if text.Type != gjson.String {
+		return nil, errors.New("q: not a string")
+	}
+	q.Text = text.String()
+	if !shards.IsArray() {
+		return nil, errors.New("shards: not a list")
+	}
+	seen := make(map[int]bool)
+	for _, e := range shards.Array() {
+		shard, weight, cost := e.Get("shard"), e.Get("weight"), e.Get("cost")
+		n := shard.Int()
+		if shard.Type != gjson.Number || shard.Num != math.Trunc(shard.Num) || shard.Num < 0 || n < 0 || n > math.MaxInt32 ||
+			f.Shards > 0 && n >= int64(f.Shards) {
+			return nil, errors.New("shard: not the number of a shard")
+		}
+		if seen[int(n)] {
+			return nil, errors.New("shard: named twice")
+		}
+		seen[int(n)] = true
+		if weight.Type != gjson.Number || !(weight.Num >= 0) || math.IsInf(weight.Num, 0) {
+			return nil, errors.New("weight: not a share")
+		}
+		p := exchange.Part{Shard: int(n), Weight: weight.Num, Key: e.Get("key").String()}
+		if cost.Type == gjson.Number && cost.Num >= 0 && cost.Num < float64(maxPatience.Microseconds()) {
+			p.Hinted, p.Cost = true, choice.Micros(cost.Num)
+		}
+		q.Parts = append(q.Parts, p)
+	}
+	if len(q.Parts) == 0 {
+		return nil, errors.New("shards: empty")
+	}
+	return q, nil
+}
+
+// printable tells whether an id can stand in a frame's line.
+func printable(id string) bool {
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] >= 0x7f {
+			return false
+		}
+	}
+	return id != "" && len(id) <= maxID
+}
+
+// span reads X-Expires-In: a whole number and m for milliseconds or u for microseconds.
+func span(s string) (time.Duration, error) {
+	unit := time.Duration(0)
+	if s != "" {
+		unit = map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[s[len(s)-1]]
+	}
+	if unit == 0 {
+		return 0, errors.New("X-Expires-In: neither m nor u behind a number")
+	}
+	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	if err != nil || !(n >= 0) {
+		return 0, errors.New("X-Expires-In: not a number")
+	}
+	return time.Duration(min(n*float64(unit), float64(maxPatience))), nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,256 @@
+// Package settings is the one decoder of a deployment's settings. It owns the
+// names and units of the settings, whichever form they come in: the pairs of the
+// simulator's wire or the nested JSON of a mixer's configuration. It must never
+// fill in a figure that was not told, nor know where a text came from.
+package settings
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"saddleport/choice"
+)
+
+// Settings are what the decisions are told, and what only the sockets need.
+type Settings struct {
+	Router         choice.Settings
+	MostHeld       int           // queries and parts held at once; 0: no limit told
+	StreamsPerConn int           // parts out on one leaf connection; 0: no limit told
+	DialTimeout    choice.Micros // a connection that is not up by then has failed
+	PullReports    bool          // load reports come in probe answers alone
+}
+
+// FieldError names the setting that is wrong.
+type FieldError struct{ Path, Problem string }
+
+func (e *FieldError) Error() string { return "field " + e.Path + ": " + e.Problem }
+
+// ParseNumber reads a finite number.
+func ParseNumber(s string) (float64, error) {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		return 0, fmt.Errorf("%q is not a number", s)
+	}
+	return f, nil
+}
+
+// Pairs cuts path=value texts. A path told twice keeps its last value.
+func Pairs(texts []string) (map[string]string, error) {
+	values := make(map[string]string, len(texts))
+	for _, pair := range texts {
+		path, value, ok := strings.Cut(pair, "=")
+		if !ok {
+			return nil, &FieldError{"profile-data", fmt.Sprintf("%q is not path=value", pair)}
+		}
+		values[path] = value
+	}
+	return values, nil
+}
+
+// Flatten turns nested JSON into the paths of the simulator's wire: a list of
+// scalars is joined by commas, a list of objects told by .count and its items.
+func Flatten(doc gjson.Result) map[string]string {
+	values := make(map[string]string)
+	flatten(values, "", doc)
+	return values
+}
+
+func flatten(values map[string]string, path string, v gjson.Result) {
+	switch {
+	case v.IsObject():
+		v.ForEach(func(key, item gjson.Result) bool {
+			at := key.String()
+			if path != "" {
+				at = path + "." + at
+			}
+			flatten(values, at, item)
+			return true
+		})
+	case v.IsArray():
+		items := v.Array()
+		if len(items) > 0 && items[0].IsObject() {
+			values[path+".count"] = strconv.Itoa(len(items))
+			for i, item := range items {
+				flatten(values, path+"."+strconv.Itoa(i), item)
+			}
+			return
+		}
+		texts := make([]string, len(items))
+		for i, item := range items {
+			texts[i] = item.String()
+		}
+		values[path] = strings.Join(texts, ",")
+	case v.Type == gjson.Number:
+		values[path] = v.Raw
+	case v.Type != gjson.Null:
+		values[path] = v.String()
+	}
+}
+
+// pairs are the settings by path, with the first complaint.
+type pairs struct {
+	values map[string]string
+	err    error
+}
+
+func (p *pairs) fail(path, problem string) {
+	if p.err == nil {
+		p.err = &FieldError{path, problem}
+	}
+}
+
+// number reads a setting; one that was not told is 0.
+func (p *pairs) number(path string) float64 {
+	s, told := p.values[path]
+	if !told {
+		return 0
+	}
+	f, err := ParseNumber(s)
+	if err != nil {
+		p.fail(path, err.Error())
+	}
+	return f
+}
+
+func (p *pairs) integer(path string) int64 {
+	s, told := p.values[path]
+	if !told {
+		return 0
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		p.fail(path, fmt.Sprintf("%q is not a whole number", s))
+	}
+	return n
+}
+
+func (p *pairs) bool(path string) bool {
+	s, told := p.values[path]
+	if told && s != "true" && s != "false" {
+		p.fail(path, fmt.Sprintf("%q is neither true nor false", s))
+	}
+	return s == "true"
+}
+
+// list reads a number per class; nil when it was not told.
+func (p *pairs) list(path string, classes int) []float64 {
+	s, told := p.values[path]
+	if !told {
+		return nil
+	}
+	var out []float64
+	for item := range strings.SplitSeq(s, ",") {
+		f, err := ParseNumber(item)
+		if err != nil {
+			p.fail(path, err.Error())
+			return nil
+		}
+		out = append(out, f)
+	}
+	if len(out) != classes {
+		p.fail(path, fmt.Sprintf("%d values for %d classes", len(out), classes))
+		return nil
+	}
+	return out
+}
+
+func at(list []float64, i int) float64 {
+	if i < len(list) {
+		return list[i]
+	}
+	return 0
+}
+
+var effects = map[string]choice.Effect{"free": choice.Safe, "guarded": choice.Keyed, "single_shot": choice.Unsafe}
+
+func (p *pairs) count(path string) int {
+	n := p.integer(path)
+	if n < 0 || n > 1<<16 {
+		p.fail(path, fmt.Sprintf("%d is not a count", n))
+		return 0
+	}
+	return int(n)
+}
+
+func (p *pairs) classes() []choice.Class {
+	n := p.count("request-classes.count")
+	need, floor := p.list("family-info.need-by-class", n), p.list("family-info.class-floor", n)
+	partial, fetch := p.list("family-info.partial-earns", n), p.list("family-info.class-fetch", n)
+	classes := make([]choice.Class, 0, n)
+	for i := range n {
+		at1 := fmt.Sprintf("request-classes.%d.", i)
+		effect, ok := effects[p.values[at1+"effect"]]
+		if !ok {
+			p.fail(at1+"effect", fmt.Sprintf("unknown effect %q", p.values[at1+"effect"]))
+		}
+		classes = append(classes, choice.Class{
+			Name:       p.values[at1+"name"],
+			Aim:        p.integer(at1 + "aim"),
+			AimStretch: p.number(at1 + "aim-stretch"),
+			Deadline:   p.integer(at1 + "deadline"),
+			MemorySpan: p.integer(at1 + "memory-span"),
+			Effect:     effect,
+			LateWorth:  p.number(at1 + "late-worth"),
+			Value:      p.number(at1 + "value"),
+			Need:       at(need, i),
+			Floor:      at(floor, i),
+			Partial:    at(partial, i),
+			Fetch:      int(at(fetch, i)),
+		})
+	}
+	return classes
+}
+
+func (p *pairs) tenants() []choice.Tenant {
+	tenants := make([]choice.Tenant, 0)
+	for i := range p.count("tenants.count") {
+		at1 := fmt.Sprintf("tenants.%d.", i)
+		tenants = append(tenants, choice.Tenant{Name: p.values[at1+"name"], QuotaPerS: p.number(at1 + "quota-per-s")})
+	}
+	return tenants
+}
+
+// Decode reads settings by path. Those it does not know are skipped.
+func Decode(values map[string]string) (s Settings, err error) {
+	p := &pairs{values: values}
+	_, budget := p.values["rules.extra-window"]
+	s.Router = choice.Settings{
+		Classes:       p.classes(),
+		Tenants:       p.tenants(),
+		Routers:       int(p.integer("balancers")),
+		Resolution:    p.integer("resolution"),
+		Shards:        p.count("family-info.slices"),
+		Cells:         p.count("family-info.places"),
+		Width:         p.count("family-info.width"),
+		BundleMax:     p.count("family-info.bundle-max"),
+		PerCallWork:   p.integer("family-info.per-call-work"),
+		AskDiscovery:  p.values["discovery"] == "ask",
+		Cancel:        p.bool("limits.cancel"),
+		ParallelTries: p.bool("limits.parallel-tries"),
+		Probes:        p.bool("limits.probes"),
+		RetryAdvice:   p.bool("limits.retry-after"),
+		MaxRetryAfter: p.integer("limits.max-retry-after"),
+		AttemptCap:    p.count("limits.send-cap"),
+		Keepalive:     p.integer("limits.keepalive"),
+		AnswerSlack:   p.integer("rules.answer-slack"),
+		AskWithin:     p.integer("rules.ask-within"),
+		DrainGrace:    p.integer("rules.drain-grace"),
+		StartCapacity: p.number("rules.start-capacity"),
+		Cold:          p.integer("rules.cold"),
+		FallMultiple:  p.number("rules.fall-multiple"),
+		Fall:          p.integer("rules.fall"),
+		ExtraBudget:   budget,
+		ExtraSpare:    p.number("rules.spare-attempts"),
+		ExtraRatio:    p.number("rules.extra-ratio"),
+		ExtraWindow:   p.integer("rules.extra-window"),
+	}
+	s.MostHeld = p.count("limits.most-held")
+	s.StreamsPerConn = p.count("limits.streams-per-conn")
+	s.DialTimeout = p.integer("limits.dial-timeout")
+	s.PullReports = p.values["report.source"] == "pull"
+	return s, p.err
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"saddleport/choice"
+	"saddleport/internal/settings"
 )
 
 // fieldError says what is wrong with one field of a message.
@@ -93,21 +94,13 @@
 	if m.err != nil {
 		return 0
 	}
-	f, err := parseNumber(s)
+	f, err := settings.ParseNumber(s)
 	if err != nil {
 		m.fail(err.Error())
 	}
 	return f
 }
 
-func parseNumber(s string) (float64, error) {
-	f, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-		return 0, fmt.Errorf("%q is not a number", s)
-	}
-	return f, nil
-}
-
 func (m *message) bool() bool { return m.integer(0, 1) == 1 }
 
 var verdicts = map[string]choice.Verdict{
@@ -138,7 +131,7 @@
 	var load []choice.Reading
 	for pair := range strings.SplitSeq(s, ",") {
 		name, value, ok := strings.Cut(pair, ":")
-		f, err := parseNumber(value)
+		f, err := settings.ParseNumber(value)
 		if !ok || name == "" || err != nil {
 			m.fail(fmt.Sprintf("%q is not name:number", pair))
 			return nil
