Play recorded exchanges against the mixer; say when to come back with each refusal

Seen: settings tell retry-after=false here, so the module's refuse() gave no advice and a refused client was told nothing. Changed: refuse() always advises; exchange-level refusals already did. Also: a connection may be closed until its request is whole, room for clients is made again and again, not once, and 30 ms of a client's patience are set aside for the time a request may wait unread on a shared core.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -572,11 +572,9 @@
 func (r *Router) refuse(q *query) {
 	if q.class.Effect != Safe && (q.step == 2 || q.ran()) {
 		r.do(Fail{ID: q.id})
-	} else if r.set.RetryAdvice {
+	} else { // told whether or not RetryAdvice says that some heed it
 		advice := Micros(float64(q.class.Aim) * adviceShare)
 		r.do(Refuse{ID: q.id, RetryAfter: min(advice, r.set.MaxRetryAfter)})
-	} else {
-		r.do(Refuse{ID: q.id})
 	}
 	r.end(q)
 }
--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -36,7 +36,7 @@
 	memoryShare  = 0.6                    // of the limit: from there on the collector works harder
 	settleTime   = time.Second            // after SIGTERM: new requests are expected at least so long
 	quietTime    = 400 * time.Millisecond // without news, before the listener is closed
-	lastChance   = 50 * time.Millisecond  // for a request that crosses the end of its connection
+	lastChance   = 100 * time.Millisecond // for a request that crosses the end of its connection
 	countersTime = 10 * time.Second
 )
 
@@ -64,7 +64,13 @@
 					if err != nil {
 						return err
 					}
-					return serve(cfg)
+					signals := make(chan os.Signal, 2)
+					signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+					ln, err := net.Listen("tcp", cfg.listen)
+					if err != nil {
+						return err
+					}
+					return serve(cfg, ln, signals)
 				}},
 			{Name: "check-config", Usage: "read the configuration and say what is wrong with it", Flags: []cli.Flag{path},
 				Action: func(_ context.Context, c *cli.Command) error {
@@ -166,7 +172,9 @@
 	return c, nil
 }
 
-func serve(cfg *config) error {
+// serve runs a mixer on a listener until a signal comes and all it has taken is
+// answered.
+func serve(cfg *config, ln net.Listener, signals <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.cores))))
 	debug.SetMemoryLimit(int64(float64(cfg.memoryMB) * memoryShare * (1 << 20)))
 	x, err := exchange.New(cfg.seed, cfg.settings)
@@ -177,19 +185,13 @@
 	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, Discovery: cfg.discovery, MaxConns: leaves})
 	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves,
 		Shards: cfg.settings.Router.Shards})
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	ln, err := net.Listen("tcp", cfg.listen)
-	if err != nil {
-		return err
-	}
 	stop := make(chan struct{})
 	b.Apply(cfg.known, cfg.addrs)
 	go x.Run(b, stop)
 	go b.Run(stop)
 	served := make(chan error, 1)
 	go func() { served <- f.Serve(ln) }()
-	log.Printf("event=start name=%s listen=%s discovery=%s known=%d clients=%d leaves=%d", cfg.name, cfg.listen,
+	log.Printf("event=start name=%s listen=%s discovery=%s known=%d clients=%d leaves=%d", cfg.name, ln.Addr(),
 		cfg.discovery, len(cfg.known.Servers), cfg.sockets-spareFiles-leaves, leaves)
 	tick := time.NewTicker(countersTime)
 	defer tick.Stop()
@@ -207,13 +209,12 @@
 	}
 	f.Stop()
 	time.Sleep(settleTime)
-	settled := func() bool { return x.Open() == 0 && f.Quiet(quietTime) }
-	for !settled() {
+	// New connections and requests are served until none has come for a while:
+	// what the kernel has accepted is ours, whether or not we have.
+	for x.Open() > 0 || !f.Quiet(quietTime) {
+		f.CloseIdle(lastChance)
 		time.Sleep(10 * time.Millisecond)
 	}
-	// What the kernel accepted while the listener closes is still ours.
-	f.CloseIdle(lastChance)
-	time.Sleep(2 * lastChance)
 	ln.Close()
 	for x.Open() > 0 || !f.Quiet(0) {
 		time.Sleep(10 * time.Millisecond)
--- /dev/null
+++ b/cmd/saddleport/play_test.go
@@ -0,0 +1,222 @@
+package main
+
+// This file plays recorded byte exchanges from testdata/ against the whole
+// program, with the test as its clients, leaf servers and discovery. It owns the
+// script's form (testdata/README.md) and must never hold a case of its own.
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const patience = 20 * time.Second // for anything a script expects: no verdict hangs on a pace
+
+type peer struct {
+	ln net.Listener
+	nc net.Conn
+	r  *bufio.Reader
+}
+
+type stage struct {
+	t       *testing.T
+	listen  string
+	peers   map[string]*peer
+	signals chan os.Signal
+	ended   chan error
+}
+
+func TestPlay(t *testing.T) {
+	files, err := filepath.Glob("testdata/play/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			s := &stage{t: t, peers: make(map[string]*peer)}
+			for i, line := range strings.Split(string(text), "\n") {
+				if line = strings.TrimSpace(line); line != "" && line[0] != '#' {
+					s.play(fmt.Sprintf("%s:%d: %s", file, i+1, line), strings.SplitN(line, " ", 3))
+				}
+			}
+		})
+	}
+}
+
+func (s *stage) play(at string, words []string) {
+	who, what, rest := words[0], "", ""
+	if len(words) > 1 {
+		what = words[1]
+	}
+	if len(words) > 2 {
+		rest = words[2]
+	}
+	if who == "start" {
+		s.start(at, strings.Join(words[1:], " "))
+		return
+	}
+	if who == "signal" {
+		s.signals <- syscall.SIGTERM
+		return
+	}
+	if who == "ended" {
+		require.NoError(s.t, <-s.ended, at)
+		return
+	}
+	p := s.peers[who]
+	if p == nil {
+		p = &peer{}
+		s.peers[who] = p
+	}
+	switch what {
+	case "listen":
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(s.t, err, at)
+		s.t.Cleanup(func() { ln.Close() })
+		p.ln = ln
+		return
+	case "deaf": // nobody listens at its address any more
+		require.NoError(s.t, p.ln.Close(), at)
+		return
+	case "accept", "connect":
+		var err error
+		if what == "accept" {
+			if rest != "" { // a further connection to that one
+				p.ln = s.peers[rest].ln
+			}
+			p.ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+			p.nc, err = p.ln.Accept()
+		} else {
+			p.nc, err = net.Dial("tcp", s.listen)
+		}
+		require.NoError(s.t, err, at)
+		s.t.Cleanup(func() { p.nc.Close() })
+		p.r = bufio.NewReader(p.nc)
+		return
+	case "close":
+		p.nc.(*net.TCPConn).SetLinger(0)
+		require.NoError(s.t, p.nc.Close(), at)
+		return
+	}
+	require.NoError(s.t, p.nc.SetDeadline(time.Now().Add(patience)), at)
+	text := strings.NewReplacer(`\n`, "\n", `\r`, "\r").Replace(rest)
+	for name, named := range s.peers {
+		if named.ln != nil {
+			text = strings.NewReplacer(`"@`+name+`"`, `"`+named.ln.Addr().String()+`"`,
+				"Host: @"+name, "Host: "+named.ln.Addr().String()).Replace(text)
+		}
+	}
+	switch what {
+	case ">": // a line
+		p.send(s, at, text+"\r\n")
+	case ">>": // bytes
+		p.send(s, at, text)
+	case "body": // of a message, with its length
+		p.send(s, at, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text))
+	case "hex":
+		raw, err := hex.DecodeString(rest)
+		require.NoError(s.t, err, at)
+		p.send(s, at, string(raw))
+	case "<":
+		got, err := p.r.ReadString('\n')
+		require.NoError(s.t, err, at)
+		require.Equal(s.t, text+"\r\n", got, at)
+	case "<<":
+		got := make([]byte, len(text))
+		_, err := io.ReadFull(p.r, got)
+		require.NoError(s.t, err, at)
+		require.Equal(s.t, text, string(got), at)
+	case "frame>":
+		p.send(s, at, string(binary.BigEndian.AppendUint32(nil, uint32(len(text))))+text)
+	case "frame<":
+		var size [4]byte
+		_, err := io.ReadFull(p.r, size[:])
+		require.NoError(s.t, err, at)
+		got := make([]byte, binary.BigEndian.Uint32(size[:]))
+		_, err = io.ReadFull(p.r, got)
+		require.NoError(s.t, err, at)
+		require.Regexp(s.t, "^"+strings.ReplaceAll(regexp.QuoteMeta(text), `\*`, "[0-9]+")+"$", string(got), at)
+	case "poll": // a path, until its status is so
+		path, status, _ := strings.Cut(text, " ")
+		for got := ""; got != status; {
+			p.send(s, at, "GET "+path+" HTTP/1.1\r\nHost: o\r\n\r\n")
+			line, err := p.r.ReadString('\n')
+			require.NoError(s.t, err, at)
+			got = line[9:12]
+			for n := 0; line != "\r\n"; {
+				line, err = p.r.ReadString('\n')
+				require.NoError(s.t, err, at)
+				if _, err := fmt.Sscanf(line, "Content-Length: %d", &n); err != nil && line == "\r\n" {
+					_, err = p.r.Discard(n)
+					require.NoError(s.t, err, at)
+				}
+			}
+		}
+	case "eof":
+		got, err := p.r.ReadByte()
+		require.Error(s.t, err, "%s: got %q", at, got)
+		require.NotErrorIs(s.t, err, os.ErrDeadlineExceeded, at)
+	default:
+		require.Fail(s.t, "unknown word", at)
+	}
+}
+
+func (p *peer) send(s *stage, at, text string) {
+	_, err := io.WriteString(p.nc, text)
+	require.NoError(s.t, err, at)
+}
+
+// start runs the program on the configuration in testdata, with the addresses of
+// the peers that listen in place of their names, and path=JSON changes to it.
+func (s *stage) start(at, changes string) {
+	text, err := os.ReadFile("testdata/config.json")
+	require.NoError(s.t, err, at)
+	for name, p := range s.peers {
+		if p.ln != nil {
+			text = []byte(strings.ReplaceAll(string(text), `"@`+name+`"`, `"`+p.ln.Addr().String()+`"`))
+		}
+	}
+	text = regexp.MustCompile(`"@\w+"`).ReplaceAll(text, []byte(`"127.0.0.1:1"`))
+	for change := range strings.FieldsSeq(changes) {
+		old, now, ok := strings.Cut(change, "=>")
+		require.True(s.t, ok && strings.Contains(string(text), old), at)
+		text = []byte(strings.Replace(string(text), old, now, 1))
+	}
+	cfg, err := decode(text, func(string) string { return "" })
+	require.NoError(s.t, err, at)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err, at)
+	s.listen, s.signals, s.ended = ln.Addr().String(), make(chan os.Signal, 1), make(chan error, 1)
+	go func() { s.ended <- serve(cfg, ln, s.signals) }()
+}
+
+// TestConfig reads configurations that are wrong in one place: the one message
+// must name the field.
+func TestConfig(t *testing.T) {
+	good, err := os.ReadFile("testdata/config.json")
+	require.NoError(t, err)
+	good = regexp.MustCompile(`"@\w+"`).ReplaceAll(good, []byte(`"127.0.0.1:1"`))
+	cases, err := os.ReadFile("testdata/config-errors.txt")
+	require.NoError(t, err)
+	for line := range strings.SplitSeq(strings.TrimSpace(string(cases)), "\n") {
+		words := strings.Split(line, " | ")
+		require.Len(t, words, 3, line)
+		require.Contains(t, string(good), words[0], line)
+		_, err := decode([]byte(strings.Replace(string(good), words[0], words[1], 1)), func(string) string { return "" })
+		require.EqualError(t, err, words[2], line)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -293,9 +293,13 @@
 func (x *Exchange) after(at time.Time, fire func()) { heap.Push(&x.timers, timer{at, fire}) }
 
 func (x *Exchange) take(q *Query) {
-	if x.queries[q.ID] != nil {
-		// A second query of an id that is held would share its parts' ids: it is
-		// no new query, and its parts may not go out twice.
+	repeated := x.queries[q.ID] != nil
+	for _, p := range q.Parts {
+		repeated = repeated || x.parts[partID(q, p)] != nil
+	}
+	if repeated {
+		// A second query of an id that is held, or whose parts are still out, would
+		// share its parts' ids: it is no new query, and nothing may go out twice.
 		x.Counters.Repeated.Add(1)
 		x.final(q, Final{Ending: Failed})
 		return
@@ -321,7 +325,7 @@
 	// The query and all its parts go into one Step: alone it looks empty.
 	x.events = append(x.events, ev)
 	for _, p := range q.Parts {
-		mine := &part{Part: p, id: q.ID + "." + strconv.Itoa(p.Shard), q: h}
+		mine := &part{Part: p, id: partID(q, p), q: h}
 		h.parts = append(h.parts, mine)
 		x.parts[mine.id] = mine
 		x.events = append(x.events, choice.Part{ID: mine.id, Class: q.Class, Number: ev.Number, Key: p.Key,
@@ -330,6 +334,8 @@
 	x.after(h.deadline, func() { x.guards = append(x.guards, func() { x.overdue(h) }) })
 }
 
+func partID(q *Query, p Part) string { return q.ID + "." + strconv.Itoa(p.Shard) }
+
 // overdue is the last guard: a client whose time is up gets an answer though
 // the router has not given one.
 func (x *Exchange) overdue(h *held) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,8 +28,13 @@
 	idleTime    = 2 * time.Minute  // between requests
 	writeTime   = 5 * time.Second  // for an answer
 	lingerTime  = 500 * time.Millisecond
-	travel      = 2 * time.Millisecond // a request may have been so long on its way
 	acceptPause = 10 * time.Millisecond
+	roomPause   = 20 * time.Millisecond
+	// A request may have waited so long for this program, unseen, on a core that
+	// others share; its client counts from when it sent. At most this share of
+	// its patience is set aside for that.
+	unseen      = 30 * time.Millisecond
+	unseenShare = 10
 	maxPatience = 71 * time.Minute
 	maxID       = 128
 )
@@ -54,10 +59,11 @@
 }
 
 type conn struct {
-	f      *Front
-	nc     net.Conn
-	r      *httpwire.Reader
-	idleAt time.Time // since when it waits for a request; zero: it has one in hand
+	f       *Front
+	nc      net.Conn
+	r       *httpwire.Reader
+	idleAt  time.Time // since when it waits for a request; zero: it has one in hand
+	closing bool      // its wait is about to be ended
 }
 
 // New returns a server side.
@@ -70,12 +76,7 @@
 	for {
 		// Connections that find no room wait unaccepted: a descriptor too many
 		// would cost more than their wait does.
-		select {
-		case f.room <- struct{}{}:
-		default:
-			f.evict()
-			f.room <- struct{}{}
-		}
+		f.waitRoom()
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -97,7 +98,20 @@
 	}
 }
 
-// evict ends the wait of the connection that has idled longest.
+// waitRoom returns once one more connection may be had.
+func (f *Front) waitRoom() {
+	for {
+		select {
+		case f.room <- struct{}{}:
+			return
+		case <-time.After(roomPause):
+			f.evict()
+		}
+	}
+}
+
+// evict ends the wait of the connection that has waited longest for a request,
+// or for the rest of one: a client that says nothing must not keep others out.
 func (f *Front) evict() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,13 +143,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		if !c.idleAt.IsZero() {
+		if !c.idleAt.IsZero() && !c.closing {
+			c.closing = true
 			c.nc.SetReadDeadline(time.Now().Add(chance))
 		}
 	}
 }
 
-// begin and rest note whether a connection has a request in hand.
+// begin and rest note whether a connection has a whole request in hand. Until it
+// has, the connection may be closed: the client sends the request again.
 func (c *conn) begin() {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
@@ -173,7 +189,6 @@
 			return
 		}
 		at := time.Now()
-		c.begin()
 		c.nc.SetReadDeadline(at.Add(requestTime))
 		q, err := c.r.Request(func() error {
 			_, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -183,6 +198,7 @@
 			c.reject(err)
 			return
 		}
+		c.begin()
 		if !c.handle(q, at) {
 			return
 		}
@@ -338,7 +354,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q.Patience = max(patience-travel, 0)
+	q.Patience = patience - min(unseen, patience/unseenShare)
 	doc := gjson.ParseBytes(r.Body)
 	if !gjson.ValidBytes(r.Body) || !doc.IsObject() {
 		return nil, errors.New("body: not a JSON object")
