--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -37,6 +37,8 @@
 	settleTime   = time.Second            // after SIGTERM: new requests are expected at least so long
 	quietTime    = 400 * time.Millisecond // without news, before the listener is closed
 	lastChance   = 100 * time.Millisecond // for a request that crosses the end of its connection
+	pollTime     = 10 * time.Millisecond
+	listenTime   = 5 * time.Second
 	countersTime = 10 * time.Second
 )
 
@@ -66,7 +68,7 @@
 					}
 					signals := make(chan os.Signal, 2)
 					signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-					ln, err := net.Listen("tcp", cfg.listen)
+					ln, err := listen(cfg.listen)
 					if err != nil {
 						return err
 					}
@@ -172,6 +174,17 @@
 	return c, nil
 }
 
+// listen takes the address. After a restart the process before may hold it for a
+// moment yet, which must not end the start.
+func listen(addr string) (net.Listener, error) {
+	for until := time.Now().Add(listenTime); ; time.Sleep(listenTime / 50) {
+		ln, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return ln, err
+		}
+	}
+}
+
 // serve runs a mixer on a listener until a signal comes and all it has taken is
 // answered.
 func serve(cfg *config, ln net.Listener, signals <-chan os.Signal) error {
@@ -209,15 +222,15 @@
 	}
 	f.Stop()
 	time.Sleep(settleTime)
-	// New connections and requests are served until none has come for a while:
-	// what the kernel has accepted is ours, whether or not we have.
+	// New connections and queries are served until none has come for a while:
+	// what the kernel has accepted is ours, whether or not we have. Probes of the
+	// ready path do not count, or they would keep the mixer up for ever.
 	for x.Open() > 0 || !f.Quiet(quietTime) {
-		f.CloseIdle(lastChance)
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(pollTime)
 	}
 	ln.Close()
-	for x.Open() > 0 || !f.Quiet(0) {
-		time.Sleep(10 * time.Millisecond)
+	for f.CloseIdle(lastChance); f.Clients() > 0; f.CloseIdle(lastChance) {
+		time.Sleep(pollTime)
 	}
 	close(stop)
 	log.Printf("event=stopped %s", &x.Counters)
--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -126,6 +126,13 @@
 	for {
 		select {
 		case <-stop:
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			for _, s := range b.servers {
+				for _, c := range slices.Clone(s.conns) {
+					c.fail(nil)
+				}
+			}
 			return
 		case <-tick.C:
 			b.sweep()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,7 +53,7 @@
 
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
-	active time.Time // a request or connection came last
+	active time.Time // when the last query came
 	busy   int       // connections with a request in hand
 	room   chan struct{}
 }
@@ -90,7 +90,6 @@
 		c := &conn{f: f, nc: nc, r: httpwire.NewReader(nc), idleAt: time.Now()}
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
-		f.active = time.Now()
 		f.mu.Unlock()
 		f.Exchange.Counters.Accepted.Add(1)
 		f.Exchange.Counters.Clients.Add(1)
@@ -130,7 +129,14 @@
 // its answer that the connection ends.
 func (f *Front) Stop() { f.stopping.Store(true) }
 
-// Quiet tells whether nothing has come for so long and nothing is in hand.
+// Clients counts the connections of clients.
+func (f *Front) Clients() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// Quiet tells whether no query has come for so long and nothing is in hand.
 func (f *Front) Quiet(span time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -159,7 +165,6 @@
 		c.idleAt = time.Time{}
 		c.f.busy++
 	}
-	c.f.active = time.Now()
 }
 
 func (c *conn) rest() {
@@ -169,7 +174,9 @@
 		c.idleAt = time.Now()
 		c.f.busy--
 	}
-	c.nc.SetReadDeadline(time.Now().Add(idleTime))
+	if !c.closing { // else its last chance is already running
+		c.nc.SetReadDeadline(time.Now().Add(idleTime))
+	}
 }
 
 // serve takes the requests of one connection, one after another.
@@ -266,6 +273,9 @@
 	case "/-/counters":
 		return c.write(200, c.f.Exchange.Counters.String()+"\n", keep)
 	}
+	c.f.mu.Lock()
+	c.f.active = at
+	c.f.mu.Unlock()
 	query, err := c.f.query(q, at)
 	if err != nil {
 		c.f.Exchange.Counters.Malformed.Add(1)
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -89,6 +89,10 @@
 	}
 	method, rest, ok := strings.Cut(line, " ")
 	target, proto, ok2 := strings.Cut(rest, " ")
+	if after, whole := strings.CutPrefix(target, "http://"); whole { // as a proxy sends it
+		_, path, _ := strings.Cut(after, "/")
+		target = "/" + path
+	}
 	if !ok || !ok2 || !token(method) || !strings.HasPrefix(target, "/") || strings.Contains(proto, " ") {
 		return nil, bad("malformed request line")
 	}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,29 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+)
+
+// TestForms reads the same settings in both forms, as they were recorded: the
+// mixer must be told exactly what the simulator's instance is.
+func TestForms(t *testing.T) {
+	nested, err := os.ReadFile("testdata/nested.json")
+	require.NoError(t, err)
+	pairs, err := os.ReadFile("testdata/pairs.txt")
+	require.NoError(t, err)
+	values, err := Pairs(strings.Fields(string(pairs)))
+	require.NoError(t, err)
+	want, err := Decode(values)
+	require.NoError(t, err)
+	require.Len(t, want.Router.Classes, 2)
+	require.Equal(t, 0.15, want.Router.ExtraRatio)
+	require.Equal(t, 243, want.MostHeld)
+	got, err := Decode(Flatten(gjson.ParseBytes(nested)))
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
