Drop timers with what they were for; hold no query for more than a minute

Seen by reading: each attempt and query left its timer in the heap until due, and the timer held the query's text; a client that says it waits 71 minutes could have had that much kept. Now they leave the heap at the end, and patience is capped.

--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -93,18 +93,17 @@
 }
 
 type conn struct {
-	b       *Back
-	s       *server
-	nc      net.Conn
-	addr    string
-	ready   *sync.Cond
-	queue   []item
-	calls   map[string]*call     // attempts by part id, until ended or given up in writing
-	stale   map[string]time.Time // parts given up here, whose answer may still come
-	probes  []*call              // in the order of their frames
-	usedAt  time.Time
-	closed  bool
-	brokeBy error
+	b      *Back
+	s      *server
+	nc     net.Conn
+	addr   string
+	ready  *sync.Cond
+	queue  []item
+	calls  map[string]*call     // attempts by part id, until ended or given up in writing
+	stale  map[string]time.Time // parts given up here, whose answer may still come
+	probes []*call              // in the order of their frames
+	usedAt time.Time
+	closed bool
 }
 
 // New returns a client side that knows no server yet.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,6 +82,7 @@
 
 	sentAt time.Time
 	part   *part
+	alarm  *timer
 	ended  bool
 	giving bool // given up: the client side will end it
 }
@@ -114,25 +115,34 @@
 	*Query
 	parts    []*part
 	deadline time.Time
+	alarm    *timer
 	ended    bool
 }
 
 type timer struct {
-	at   time.Time
-	fire func()
+	at    time.Time
+	fire  func()
+	index int // in the heap; below 0: not in it any more
 }
 
-type timers []timer
+type timers []*timer
 
 func (t timers) Len() int           { return len(t) }
 func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+func (t *timers) Push(x any) {
+	x.(*timer).index = len(*t)
+	*t = append(*t, x.(*timer))
+}
 func (t *timers) Pop() any {
 	old := *t
 	x := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1] = nil
 	*t = old[:len(old)-1]
+	x.index = -1
 	return x
 }
 
@@ -274,7 +284,7 @@
 	}
 	now := time.Now()
 	for len(x.timers) > 0 && !x.timers[0].at.After(now) {
-		heap.Pop(&x.timers).(timer).fire()
+		heap.Pop(&x.timers).(*timer).fire()
 	}
 	if len(x.events) > 0 {
 		events := x.events
@@ -290,7 +300,19 @@
 	}
 }
 
-func (x *Exchange) after(at time.Time, fire func()) { heap.Push(&x.timers, timer{at, fire}) }
+func (x *Exchange) after(at time.Time, fire func()) *timer {
+	t := &timer{at: at, fire: fire}
+	heap.Push(&x.timers, t)
+	return t
+}
+
+// drop takes a timer that is not needed any more out of the heap: kept until it
+// is due, it would hold on to the text of a query that ended long before.
+func (x *Exchange) drop(t *timer) {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&x.timers, t.index)
+	}
+}
 
 func (x *Exchange) take(q *Query) {
 	repeated := x.queries[q.ID] != nil
@@ -331,7 +353,7 @@
 		x.events = append(x.events, choice.Part{ID: mine.id, Class: q.Class, Number: ev.Number, Key: p.Key,
 			Shard: p.Shard, Weight: p.Weight, Hinted: p.Hinted, Predicted: p.Cost})
 	}
-	x.after(h.deadline, func() { x.guards = append(x.guards, func() { x.overdue(h) }) })
+	h.alarm = x.after(h.deadline, func() { x.guards = append(x.guards, func() { x.overdue(h) }) })
 }
 
 func partID(q *Query, p Part) string { return q.ID + "." + strconv.Itoa(p.Shard) }
@@ -431,7 +453,7 @@
 		return
 	}
 	x.Counters.Sent.Add(1)
-	x.after(a.Until, func() { x.giveUp(a, choice.NoAnswer) })
+	a.alarm = x.after(a.Until, func() { x.giveUp(a, choice.NoAnswer) })
 	x.leaves.Send(a)
 }
 
@@ -449,6 +471,7 @@
 		return
 	}
 	a.ended = true
+	x.drop(a.alarm)
 	p := a.part
 	p.out--
 	x.Counters.Outcomes[v].Add(1)
@@ -467,6 +490,7 @@
 		return
 	}
 	h.ended = true
+	x.drop(h.alarm)
 	delete(x.queries, h.ID)
 	for _, p := range h.parts {
 		x.forget(p)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,7 +35,7 @@
 	// its patience is set aside for that.
 	unseen      = 30 * time.Millisecond
 	unseenShare = 10
-	maxPatience = 71 * time.Minute
+	maxPatience = time.Minute // a query is not held for longer, whatever its client says
 	maxID       = 128
 )
 
