--- a/internal/back/discovery.go
+++ b/internal/back/discovery.go
@@ -26,6 +26,7 @@
 	answerTime  = 2500 * time.Millisecond // beyond the wait: then the call has failed
 	backoffFrom = 200 * time.Millisecond
 	backoffMost = 2 * time.Second
+	maxSince    = 1 << 50 // milliseconds; in microseconds it must still fit
 )
 
 // watcher makes the calls; its loop alone uses all but on, kick and index.
@@ -171,7 +172,7 @@
 	addrs = make(map[string]string)
 	for _, e := range endpoints.Array() {
 		s := choice.Server{ID: e.Get("name").String(), Zone: e.Get("zone").String(), Kind: e.Get("type").String(),
-			Cell: int(e.Get("group").Int()), Scale: 1, UpSince: max(e.Get("since_ms").Int(), 0) * 1000}
+			Cell: int(e.Get("group").Int()), Scale: 1, UpSince: min(max(e.Get("since_ms").Int(), 0), maxSince) * 1000}
 		if w := e.Get("weight"); w.Type == gjson.Number {
 			s.Scale = w.Float()
 		}
--- /dev/null
+++ b/internal/back/fuzz_test.go
@@ -0,0 +1,38 @@
+package back
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"saddleport/choice"
+	"saddleport/internal/exchange"
+	"saddleport/internal/settings"
+)
+
+// FuzzPeers feeds any bytes as a leaf server's frames and as discovery's list:
+// nothing may panic, and no entry may come out that the router can't hold.
+func FuzzPeers(f *testing.F) {
+	set := settings.Settings{Router: choice.Settings{Cells: 2, Width: 1, AttemptCap: 1,
+		Classes: []choice.Class{{Name: "c", Aim: 1, Deadline: 1, Need: 1}}}}
+	f.Fuzz(func(t *testing.T, raw string) {
+		x, err := exchange.New(1, set)
+		require.NoError(t, err)
+		b := New(Config{Exchange: x, Settings: set})
+		c := &conn{b: b, s: &server{name: "a"}, calls: make(map[string]*call), stale: map[string]time.Time{"q.1": {}}}
+		c.calls["q.0"] = &call{a: &exchange.Attempt{PartID: "q.0"}, s: c.s, c: c, state: out}
+		c.probes = []*call{{s: c.s, c: c, state: out}}
+		for r := bufio.NewReader(strings.NewReader(raw)); c.frame(r) == nil; {
+		}
+		if list, addrs, err := ParseList([]byte(raw), set.Router.Cells); err == nil {
+			for _, s := range list.Servers {
+				require.True(t, s.ID != "" && s.Cell >= 0 && s.Cell < 2 && s.UpSince >= 0, "%+v", s)
+				require.Contains(t, addrs, s.ID)
+			}
+			b.Apply(list, addrs)
+		}
+	})
+}
--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -141,13 +141,15 @@
 
 // ---- What the exchange asks for.
 
-// Send starts an attempt.
-func (b *Back) Send(a *exchange.Attempt) {
+// Send starts attempts.
+func (b *Back) Send(attempts []*exchange.Attempt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	k := &call{a: a, s: b.servers[a.Server], begun: time.Now()}
-	b.calls[a] = k
-	b.place(k)
+	for _, a := range attempts {
+		k := &call{a: a, s: b.servers[a.Server], begun: time.Now()}
+		b.calls[a] = k
+		b.place(k)
+	}
 }
 
 // GiveUp ends the wait for an attempt: at once if its frame has not been begun,
@@ -424,59 +426,82 @@
 		if c.closed {
 			return
 		}
-		i := c.queue[0]
-		c.queue = c.queue[1:]
-		k := i.call
-		if k.done {
-			continue
-		}
-		if i.letter != 'X' && c.s.drained() { // it waited too long: nothing may start here any more
-			b.finish(k, choice.NotSent, nil, "")
+		letter, calls := c.next()
+		if len(calls) == 0 {
 			continue
 		}
-		var frame []byte
-		switch i.letter {
-		case 'Q':
-			k.state = writing
-			ms := max((time.Until(k.a.Until)+time.Millisecond-1)/time.Millisecond, 1)
-			frame = appendFrame(nil, 'Q', fmt.Sprintf("%s %d d=%d %d\n%s", k.a.PartID, k.a.Shard, ms, len(k.a.Text), k.a.Text))
-		case 'X':
-			frame = appendFrame(nil, 'X', k.a.PartID)
-		default:
-			k.state = writing
-			c.probes = append(c.probes, k)
-			frame = appendFrame(nil, i.letter, "")
+		var rest []byte
+		for _, k := range calls {
+			switch letter {
+			case 'Q':
+				ms := max((time.Until(k.a.Until)+time.Millisecond-1)/time.Millisecond, 1)
+				rest = fmt.Appendf(rest, "%s %d d=%d %d\n%s", k.a.PartID, k.a.Shard, ms, len(k.a.Text), k.a.Text)
+			case 'X':
+				rest = append(rest, k.a.PartID...)
+			default:
+				c.probes = append(c.probes, k)
+			}
 		}
 		c.usedAt = time.Now()
 		b.mu.Unlock()
 		c.nc.SetWriteDeadline(time.Now().Add(writeTime))
-		_, err := c.nc.Write(frame)
+		_, err := c.nc.Write(appendFrame(nil, letter, rest))
 		b.mu.Lock()
-		switch {
-		case err != nil:
-			// The last byte of this frame was never handed over.
-			if i.letter == 'Q' {
-				b.finish(k, choice.NoConnection, nil, "")
-			}
+		for _, k := range calls {
+			c.written(letter, k, err)
+		}
+		if err != nil {
 			c.fail(err)
-		case i.letter == 'X':
-			if !k.done {
-				c.stale[k.a.PartID] = time.Now()
-				b.finish(k, k.verdict, nil, "")
-			}
+		}
+	}
+}
+
+// next takes from the queue what makes one frame: one message, or the calls that
+// come in a row up to the number that may share one. A server that has long been
+// said to drain gets none: they waited too long.
+func (c *conn) next() (letter byte, calls []*call) {
+	room := 1
+	for len(c.queue) > 0 && len(calls) < room && (len(calls) == 0 || c.queue[0].letter == letter) {
+		i := c.queue[0]
+		c.queue = c.queue[1:]
+		switch k := i.call; {
 		case k.done:
-		case c.closed:
-			c.lose(k)
+		case i.letter != 'X' && c.s.drained():
+			c.b.finish(k, choice.NotSent, nil, "")
 		default:
-			k.state = out
-			if k.gaveUp {
-				c.push(item{'X', k})
+			if letter = i.letter; letter == 'Q' {
+				room = max(c.b.Settings.Router.BundleMax, 1)
 			}
+			if letter != 'X' {
+				k.state = writing
+			}
+			calls = append(calls, k)
+		}
+	}
+	return letter, calls
+}
+
+// written notes what has become of a message. One that could not be written
+// whole was never handed over, so what it asked for never ran.
+func (c *conn) written(letter byte, k *call, err error) {
+	switch {
+	case err != nil && letter == 'X' || k.done: // fail ends the one, the other has ended
+	case err != nil:
+		c.b.finish(k, choice.NoConnection, nil, "")
+	case letter == 'X':
+		c.stale[k.a.PartID] = time.Now()
+		c.b.finish(k, k.verdict, nil, "")
+	case c.closed:
+		c.lose(k)
+	default:
+		k.state = out
+		if k.gaveUp {
+			c.push(item{'X', k})
 		}
 	}
 }
 
-func appendFrame(b []byte, letter byte, rest string) []byte {
+func appendFrame(b []byte, letter byte, rest []byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(1+len(rest)))
 	return append(append(b, letter), rest...)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -90,7 +90,7 @@
 // Leaves is the client side. Its methods must not block; each attempt that is
 // sent must come back by Ended, soon after GiveUp at the latest.
 type Leaves interface {
-	Send(*Attempt)
+	Send([]*Attempt) // of one moment, in order: parts for one server may share a call
 	GiveUp(*Attempt, choice.Verdict)
 	Probe(server string)
 	Release(server string)
@@ -163,7 +163,8 @@
 	// Owned by Run's goroutine.
 	router  *choice.Router
 	events  []choice.Event
-	guards  []func() // to run once the events at hand have been decided on
+	sends   []*Attempt // not handed over yet
+	guards  []func()   // to run once the events at hand have been decided on
 	queries map[string]*held
 	parts   map[string]*part
 	numbers int64
@@ -290,8 +291,12 @@
 		events := x.events
 		x.events = nil
 		for _, a := range x.router.Step(x.Clock(now), events) {
+			if _, more := a.(choice.Send); !more {
+				x.flush()
+			}
 			x.act(now, a)
 		}
+		x.flush()
 	}
 	guards := x.guards
 	x.guards = nil
@@ -454,7 +459,15 @@
 	}
 	x.Counters.Sent.Add(1)
 	a.alarm = x.after(a.Until, func() { x.giveUp(a, choice.NoAnswer) })
-	x.leaves.Send(a)
+	x.sends = append(x.sends, a)
+}
+
+// flush hands over the sends that came in a row.
+func (x *Exchange) flush() {
+	if len(x.sends) > 0 {
+		x.leaves.Send(x.sends)
+		x.sends = nil
+	}
 }
 
 // giveUp stops waiting for an attempt. Its outcome comes once the client side
--- /dev/null
+++ b/internal/front/fuzz_test.go
@@ -0,0 +1,28 @@
+package front
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"saddleport/internal/httpwire"
+)
+
+// FuzzQuery feeds any body and patience: nothing may panic, and no query may come
+// out that the decisions or a frame can't hold.
+func FuzzQuery(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body, patience string) {
+		r := &httpwire.Request{Header: map[string][]string{"X-Trace-Id": {"q"}, "X-Qos": {"c"},
+			"X-Expires-In": {patience}}, Body: []byte(body)}
+		q, err := New(Config{MaxClients: 1, Shards: 6}).query(r, time.Now())
+		if err != nil {
+			return
+		}
+		require.True(t, q.Patience >= 0 && q.Patience <= maxPatience && len(q.Parts) > 0, "%+v", q)
+		for _, p := range q.Parts {
+			require.True(t, p.Shard >= 0 && p.Shard < 6 && p.Cost >= 0 && p.Weight >= 0 && !math.IsInf(p.Weight, 0), "%+v", p)
+		}
+	})
+}
