--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -165,7 +165,7 @@
 	if c.settings, err = settings.Decode(settings.Flatten(doc.Get("settings"))); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if known := doc.Get("known"); known.Exists() {
+	if known := doc.Get("known"); known.Type != gjson.Null { // neither absent nor null
 		if c.known, c.addrs, err = back.ParseList([]byte(known.Raw), c.settings.Router.Cells); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,8 +122,13 @@
 		return 0
 	}
 	n, err := strconv.ParseInt(s, 10, 64)
-	if err != nil {
-		p.fail(path, fmt.Sprintf("%q is not a whole number", s))
+	if err != nil { // some writers of JSON put 5000 as 5000.0
+		var f float64
+		if f, err = ParseNumber(s); err != nil || f != math.Trunc(f) || math.Abs(f) > 1<<53 {
+			p.fail(path, fmt.Sprintf("%q is not a whole number", s))
+			return 0
+		}
+		n = int64(f)
 	}
 	return n
 }
