--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -27,6 +27,7 @@
 	"saddleport/internal/back"
 	"saddleport/internal/exchange"
 	"saddleport/internal/front"
+	"saddleport/internal/httpwire"
 	"saddleport/internal/settings"
 )
 
@@ -38,6 +39,7 @@
 	quietTime    = 400 * time.Millisecond // without news, before the listener is closed
 	lastChance   = 100 * time.Millisecond // for a request that crosses the end of its connection
 	pollTime     = 10 * time.Millisecond
+	askTime      = 2 * time.Second // for a running mixer's answer
 	listenTime   = 5 * time.Second
 	countersTime = 10 * time.Second
 )
@@ -87,6 +89,14 @@
 						cfg.discovery, len(cfg.settings.Router.Classes), len(cfg.known.Servers))
 					return err
 				}},
+			{Name: "counters", Usage: "print what the mixer that runs on this configuration has counted", Flags: []cli.Flag{path},
+				Action: func(_ context.Context, c *cli.Command) error {
+					cfg, err := load(c.String("config"), os.Getenv)
+					if err != nil {
+						return err
+					}
+					return counters(os.Stdout, cfg.listen)
+				}},
 			{Name: "version", Usage: "say which build this is",
 				Action: func(context.Context, *cli.Command) error { return version(os.Stdout) }},
 		},
@@ -97,6 +107,31 @@
 	}
 }
 
+// counters asks a running mixer.
+func counters(w io.Writer, addr string) error {
+	nc, err := net.DialTimeout("tcp", addr, askTime)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(askTime))
+	if _, err := nc.Write(httpwire.AppendGet(nil, addr, "/-/counters")); err != nil {
+		return err
+	}
+	r := httpwire.NewReader(nc)
+	if err := r.Await(); err != nil {
+		return err
+	}
+	p, err := r.Response()
+	if err == nil && p.Status != 200 {
+		err = fmt.Errorf("status %d", p.Status)
+	}
+	if err == nil {
+		_, err = w.Write(p.Body)
+	}
+	return err
+}
+
 func version(w io.Writer) error {
 	revision, info, ok := "unknown", (*debug.BuildInfo)(nil), false
 	if info, ok = debug.ReadBuildInfo(); !ok {
--- a/cmd/saddleport/play_test.go
+++ b/cmd/saddleport/play_test.go
@@ -69,6 +69,12 @@
 		s.start(at, strings.Join(words[1:], " "))
 		return
 	}
+	if who == "counters" { // what the sub-command prints holds this
+		var got strings.Builder
+		require.NoError(s.t, counters(&got, s.listen), at)
+		require.Contains(s.t, got.String(), strings.Join(words[1:], " "), at)
+		return
+	}
 	if who == "signal" {
 		s.signals <- syscall.SIGTERM
 		return
