--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -296,8 +296,8 @@
 		}
 		if err != nil {
 			b.failWaiting(s, err)
-		} else if len(s.waiting) > 0 {
-			b.open(s)
+		} else { // it has moved meanwhile
+			b.pump(s)
 		}
 		return
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -203,8 +203,10 @@
 		at := time.Now()
 		c.nc.SetReadDeadline(at.Add(requestTime))
 		q, err := c.r.Request(func() error {
-			_, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-			return err
+			if !c.put([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+				return io.ErrClosedPipe
+			}
+			return nil
 		})
 		if err != nil {
 			c.reject(err)
