--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -190,7 +190,7 @@
 	}
 	c.cores = number("limits.cores", 0.01, 1024)
 	c.memoryMB = int(number("limits.memory_mb", 16, 1<<20))
-	c.sockets = int(number("limits.sockets", 64, 1<<20))
+	c.sockets = int(number("limits.sockets", spareFiles+2*leafShare, 1<<20))
 	if err != nil {
 		return nil, err
 	}
