Reread the configuration on SIGHUP and turn to the new discovery at once

Cause: cmd/saddleport/main.go asked for SIGTERM and SIGINT only, so Go's default ended the process. Ruled out by reading: nothing else ends the program there.

Now the file is reread and checked whole; only the address of discovery is taken over, a bad file is logged with its field. The watch had a connection per Fetch beside its own; a whole list on one could be overtaken by changes on the other, so all calls go through one line. A switch ends the call at hand and the backoff, drops late answers under the same lock that takes lists, and asks the new address for the whole list. SIGHUP counts while stopping too.

--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -14,9 +14,12 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -46,6 +49,8 @@
 
 // config is what the platform tells a mixer.
 type config struct {
+	path                    string
+	env                     func(string) string
 	name, listen, discovery string
 	seed                    uint64
 	cores                   float64
@@ -62,14 +67,15 @@
 		Name:  "saddleport",
 		Usage: "mixes answers of leaf servers into answers to queries",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM", Flags: []cli.Flag{path},
+			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: []cli.Flag{path},
 				Action: func(_ context.Context, c *cli.Command) error {
+					// Before all else: until it is asked for, SIGHUP ends the program.
+					signals := make(chan os.Signal, 16)
+					signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 					cfg, err := load(c.String("config"), os.Getenv)
 					if err != nil {
 						return err
 					}
-					signals := make(chan os.Signal, 2)
-					signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 					ln, err := listen(cfg.listen)
 					if err != nil {
 						return err
@@ -80,7 +86,7 @@
 				Action: func(_ context.Context, c *cli.Command) error {
 					cfg, err := load(c.String("config"), os.Getenv)
 					if err == nil {
-						_, err = exchange.New(cfg.seed, cfg.settings)
+						err = cfg.check()
 					}
 					if err != nil {
 						return err
@@ -156,7 +162,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return decode(text, env)
+	c, err := decode(text, env)
+	if err == nil {
+		c.path, c.env = path, env
+	}
+	return c, err
 }
 
 func decode(text []byte, env func(string) string) (*config, error) {
@@ -209,6 +219,40 @@
 	return c, nil
 }
 
+// check tells whether a mixer could run on the configuration.
+func (c *config) check() error {
+	_, err := exchange.New(c.seed, c.settings)
+	return err
+}
+
+// reload rereads the file and takes over what may change in service: the address
+// of discovery. A file that is wrong anywhere changes nothing: half of it might
+// belong to another version of the fleet.
+func (c *config) reload(b *back.Back) {
+	now, err := load(c.path, c.env)
+	if err == nil {
+		err = now.check()
+	}
+	if err != nil {
+		log.Printf("event=reload-failed discovery=%s err=%q", c.discovery, err)
+		return
+	}
+	var kept []string
+	for field, same := range map[string]bool{"name": now.name == c.name, "listen": now.listen == c.listen,
+		"limits":   now.cores == c.cores && now.memoryMB == c.memoryMB && now.sockets == c.sockets,
+		"settings": reflect.DeepEqual(now.settings, c.settings)} {
+		if !same {
+			kept = append(kept, field)
+		}
+	}
+	slices.Sort(kept)
+	log.Printf("event=reload discovery=%s was=%s kept=%q", now.discovery, c.discovery, strings.Join(kept, ","))
+	if now.discovery != c.discovery {
+		c.discovery = now.discovery
+		b.Switch(c.discovery)
+	}
+}
+
 // listen takes the address. After a restart the process before may hold it for a
 // moment yet, which must not end the start.
 func listen(addr string) (net.Listener, error) {
@@ -243,29 +287,46 @@
 		cfg.discovery, len(cfg.known.Servers), cfg.sockets-spareFiles-leaves, leaves)
 	tick := time.NewTicker(countersTime)
 	defer tick.Stop()
-	for {
+	for stopping := false; !stopping; {
 		select {
 		case <-tick.C:
 			log.Printf("event=counters %s", &x.Counters)
-			continue
 		case err := <-served:
 			return fmt.Errorf("the listener ended: %w", err)
 		case s := <-signals:
+			if s == syscall.SIGHUP {
+				cfg.reload(b)
+				continue
+			}
 			log.Printf("event=stopping signal=%q open=%d", s, x.Open())
+			stopping = true
+		}
+	}
+	// A configuration that comes while the mixer stops counts too: queries are
+	// still served, and drains are still to be learned.
+	sleep := func(d time.Duration) {
+		for end := time.After(d); ; {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					cfg.reload(b)
+				}
+			case <-end:
+				return
+			}
 		}
-		break
 	}
 	f.Stop()
-	time.Sleep(settleTime)
+	sleep(settleTime)
 	// New connections and queries are served until none has come for a while:
 	// what the kernel has accepted is ours, whether or not we have. Probes of the
 	// ready path do not count, or they would keep the mixer up for ever.
 	for x.Open() > 0 || !f.Quiet(quietTime) {
-		time.Sleep(pollTime)
+		sleep(pollTime)
 	}
 	ln.Close()
 	for f.CloseIdle(lastChance); f.Clients() > 0; f.CloseIdle(lastChance) {
-		time.Sleep(pollTime)
+		sleep(pollTime)
 	}
 	close(stop)
 	log.Printf("event=stopped %s", &x.Counters)
--- a/cmd/saddleport/play_test.go
+++ b/cmd/saddleport/play_test.go
@@ -33,6 +33,7 @@
 type stage struct {
 	t       *testing.T
 	listen  string
+	config  string // the file
 	peers   map[string]*peer
 	signals chan os.Signal
 	ended   chan error
@@ -76,7 +77,13 @@
 		return
 	}
 	if who == "signal" {
-		s.signals <- syscall.SIGTERM
+		s.signals <- map[string]os.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[what]
+		return
+	}
+	if who == "config" { // the file is replaced
+		text, err := os.ReadFile(s.config)
+		require.NoError(s.t, err, at)
+		s.write(at, string(text), strings.Join(words[1:], " "))
 		return
 	}
 	if who == "ended" {
@@ -119,13 +126,7 @@
 		return
 	}
 	require.NoError(s.t, p.nc.SetDeadline(time.Now().Add(patience)), at)
-	text := strings.NewReplacer(`\n`, "\n", `\r`, "\r").Replace(rest)
-	for name, named := range s.peers {
-		if named.ln != nil {
-			text = strings.NewReplacer(`"@`+name+`"`, `"`+named.ln.Addr().String()+`"`,
-				"Host: @"+name, "Host: "+named.ln.Addr().String()).Replace(text)
-		}
-	}
+	text := s.addresses(strings.NewReplacer(`\n`, "\n", `\r`, "\r").Replace(rest))
 	switch what {
 	case ">": // a line
 		p.send(s, at, text+"\r\n")
@@ -191,25 +192,39 @@
 func (s *stage) start(at, changes string) {
 	text, err := os.ReadFile("testdata/config.json")
 	require.NoError(s.t, err, at)
-	for name, p := range s.peers {
-		if p.ln != nil {
-			text = []byte(strings.ReplaceAll(string(text), `"@`+name+`"`, `"`+p.ln.Addr().String()+`"`))
-		}
-	}
+	text = []byte(s.addresses(string(text)))
 	text = regexp.MustCompile(`"@\w+"`).ReplaceAll(text, []byte(`"127.0.0.1:1"`))
-	for change := range strings.FieldsSeq(changes) {
-		old, now, ok := strings.Cut(change, "=>")
-		require.True(s.t, ok && strings.Contains(string(text), old), at)
-		text = []byte(strings.Replace(string(text), old, now, 1))
-	}
-	cfg, err := decode(text, func(string) string { return "" })
+	s.config = filepath.Join(s.t.TempDir(), "config.json")
+	s.write(at, string(text), changes)
+	cfg, err := load(s.config, func(string) string { return "" })
 	require.NoError(s.t, err, at)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err, at)
-	s.listen, s.signals, s.ended = ln.Addr().String(), make(chan os.Signal, 1), make(chan error, 1)
+	s.listen, s.signals, s.ended = ln.Addr().String(), make(chan os.Signal), make(chan error, 1)
 	go func() { s.ended <- serve(cfg, ln, s.signals) }()
 }
 
+// write puts a configuration in place, with the changes and the peers' addresses.
+func (s *stage) write(at, text, changes string) {
+	for change := range strings.FieldsSeq(changes) {
+		old, now, ok := strings.Cut(s.addresses(change), "=>")
+		require.True(s.t, ok && strings.Contains(text, old), at)
+		text = strings.Replace(text, old, now, 1)
+	}
+	require.NoError(s.t, os.WriteFile(s.config, []byte(text), 0o600), at)
+}
+
+// addresses puts addresses in place of the names of peers that listen.
+func (s *stage) addresses(text string) string {
+	for name, p := range s.peers {
+		if p.ln != nil {
+			addr := p.ln.Addr().String()
+			text = strings.NewReplacer(`"@`+name+`"`, `"`+addr+`"`, "Host: @"+name, "Host: "+addr).Replace(text)
+		}
+	}
+	return text
+}
+
 // TestConfig reads configurations that are wrong in one place: the one message
 // must name the field.
 func TestConfig(t *testing.T) {
--- a/internal/back/discovery.go
+++ b/internal/back/discovery.go
@@ -5,12 +5,12 @@
 // press a service that fails, or hand on an entry that the router can't hold.
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log"
 	"math/rand/v2"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -29,46 +29,98 @@
 	maxSince    = 1 << 50 // milliseconds; in microseconds it must still fit
 )
 
-// watcher makes the calls; its loop alone uses all but on, kick and index.
+// watcher makes the calls, one after another. Its fields but kick are under
+// Back.mu; Run's loop alone makes calls.
 type watcher struct {
-	on    atomic.Bool
 	kick  chan struct{}
-	index atomic.Int64 // of the newest list
+	on    bool
+	whole bool // the next call asks for the whole list
+	addr  string
+	index int64 // of the newest list
+	// current ends once what the calls under it ask for is not wanted any more: an
+	// answer that comes after that is dropped.
+	current context.Context
+	end     context.CancelFunc
 }
 
 // Watch starts or ends the watch. One that stands is not started anew.
 func (b *Back) Watch(on bool) {
-	b.watch.on.Store(on)
-	select {
-	case b.watch.kick <- struct{}{}:
-	default:
-	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watch.on = on
+	b.watch.stir()
 }
 
 // Fetch asks for the whole list once.
 func (b *Back) Fetch() {
-	go func() {
-		var line discoveryLine
-		defer line.close()
-		b.told(line.get(b.Discovery, "/api/targets", answerTime))
-	}()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watch.anew()
+}
+
+// Switch turns to another discovery service. Its versions need not compare with
+// those of the one before, so it is asked for the whole list, and at once.
+func (b *Back) Switch(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watch.addr = addr
+	b.watch.anew()
+}
+
+// anew ends the call at hand, or the pause before the next, for the whole list.
+// Asked on a line of its own, that list could overtake or be overtaken by the
+// changes that the watch brings, and one of them would be lost.
+func (w *watcher) anew() {
+	w.whole = true
+	if w.end != nil {
+		w.end()
+	}
+	w.current, w.end = context.WithCancel(context.Background())
+	w.stir()
+}
+
+func (w *watcher) stir() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
 }
 
-func (w *watcher) run(b *Back, stop <-chan struct{}) {
+func (b *Back) runWatch(stop <-chan struct{}) {
+	w := &b.watch
 	var line discoveryLine
 	defer line.close()
 	wait, backoff := firstWait, backoffFrom
 	for {
-		for !w.on.Load() {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		b.mu.Lock()
+		ctx, addr, idle := w.current, w.addr, !w.on && !w.whole
+		path, within := fmt.Sprintf("/api/targets?index=%d&wait=%d", w.index, wait.Milliseconds()), wait+answerTime
+		if w.whole {
+			path, within = "/api/targets", answerTime
+		}
+		b.mu.Unlock()
+		if idle {
 			wait = firstWait
 			select {
 			case <-stop:
 				return
 			case <-w.kick:
 			}
+			continue
+		}
+		body, err := line.get(ctx, addr, path, within)
+		ok := b.told(ctx, addr, body, err)
+		if ctx.Err() != nil { // the call was for what is not wanted any more
+			line.close()
+			wait, backoff = firstWait, backoffFrom
+			continue
 		}
-		path := fmt.Sprintf("/api/targets?index=%d&wait=%d", w.index.Load(), wait.Milliseconds())
-		if b.told(line.get(b.Discovery, path, wait+answerTime)) {
+		if ok {
 			// The next call must come at once, or changes in between are lost.
 			wait, backoff = watchWait, backoffFrom
 			continue
@@ -80,26 +132,38 @@
 		select {
 		case <-stop:
 			return
+		case <-ctx.Done():
+			backoff = backoffFrom
 		case <-time.After(pause):
 		}
 	}
 }
 
-// told hands on an answer of discovery, or that there was none.
-func (b *Back) told(body []byte, err error) bool {
+// told hands on an answer of discovery, or that there was none. What answers a
+// call that has been ended since is dropped: it may be of another service.
+func (b *Back) told(ctx context.Context, addr string, body []byte, err error) bool {
 	var list choice.List
 	var addrs map[string]string
 	if err == nil {
 		list, addrs, err = ParseList(body, b.Settings.Router.Cells)
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	if err == nil && b.watch.whole && list.Form != choice.Full {
+		err = errors.New("the whole list was asked for, and changes came")
+	}
 	if err != nil {
 		b.Exchange.Counters.ListFails.Add(1)
-		log.Printf("event=discovery-failed addr=%s err=%q", b.Discovery, err)
+		log.Printf("event=discovery-failed addr=%s err=%q", addr, err)
 		b.Exchange.Listed(choice.List{Form: choice.Failed})
 		return false
 	}
 	b.Exchange.Counters.Lists.Add(1)
-	b.Apply(list, addrs)
+	b.watch.whole = false
+	b.apply(list, addrs)
 	return true
 }
 
@@ -107,7 +171,11 @@
 func (b *Back) Apply(list choice.List, addrs map[string]string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.watch.index.Store(list.Version)
+	b.apply(list, addrs)
+}
+
+func (b *Back) apply(list choice.List, addrs map[string]string) {
+	b.watch.index = list.Version
 	named := make(map[string]bool, len(list.Servers))
 	for _, row := range list.Servers {
 		named[row.ID] = true
@@ -191,8 +259,9 @@
 
 // discoveryLine is a connection to discovery, kept from call to call.
 type discoveryLine struct {
-	nc net.Conn
-	r  *httpwire.Reader
+	addr string
+	nc   net.Conn
+	r    *httpwire.Reader
 }
 
 func (l *discoveryLine) close() {
@@ -202,16 +271,23 @@
 	}
 }
 
-// get makes one call, which must be over within the time given.
-func (l *discoveryLine) get(addr, path string, within time.Duration) ([]byte, error) {
+// get makes one call, which must be over within the time given, and ends at once
+// when ctx does.
+func (l *discoveryLine) get(ctx context.Context, addr, path string, within time.Duration) ([]byte, error) {
+	if l.addr != addr { // the service has moved while none was asked
+		l.close()
+	}
 	if l.nc == nil {
-		nc, err := net.DialTimeout("tcp", addr, answerTime)
+		dial := net.Dialer{Timeout: answerTime}
+		nc, err := dial.DialContext(ctx, "tcp", addr)
 		if err != nil {
 			return nil, err
 		}
-		l.nc, l.r = nc, httpwire.NewReader(nc)
+		l.addr, l.nc, l.r = addr, nc, httpwire.NewReader(nc)
 	}
-	l.nc.SetDeadline(time.Now().Add(within))
+	nc := l.nc
+	nc.SetDeadline(time.Now().Add(within))
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	if _, err := l.nc.Write(httpwire.AppendGet(nil, addr, path)); err != nil {
 		return nil, err
 	}
--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -109,7 +110,8 @@
 // New returns a client side that knows no server yet.
 func New(cfg Config) *Back {
 	b := &Back{Config: cfg, servers: make(map[string]*server), calls: make(map[*exchange.Attempt]*call)}
-	b.watch.kick = make(chan struct{}, 1)
+	b.watch.kick, b.watch.addr = make(chan struct{}, 1), cfg.Discovery
+	b.watch.current, b.watch.end = context.WithCancel(context.Background())
 	b.dial.Timeout = time.Duration(cfg.Settings.DialTimeout) * time.Microsecond
 	if b.dial.Timeout <= 0 {
 		b.dial.Timeout = dialFallback
@@ -119,7 +121,7 @@
 
 // Run keeps the connections and the watch until stop is closed.
 func (b *Back) Run(stop <-chan struct{}) {
-	go b.watch.run(b, stop)
+	go b.runWatch(stop)
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
@@ -127,6 +129,7 @@
 		case <-stop:
 			b.mu.Lock()
 			defer b.mu.Unlock()
+			b.watch.end()
 			for _, s := range b.servers {
 				for _, c := range slices.Clone(s.conns) {
 					c.fail(nil)
