Bound every wait for a client; serve open connections on for 0.6 s after SIGTERM

A probe that logged each connection and query showed why: from the first SIGTERM on, each answer ended its connection (front.go, handle and exchange: keep was false once stopping), the second mixer was told to stop 0.35 s before the front had taken the restarted first one in, and clients without a connection had nowhere to go. Ruled out: lost or late answers (rules kept, none open at the end), the restart itself (0.02 s).

Open connections now go on for 0.6 s after SIGTERM: what is taken in that time has its whole deadline before SIGKILL, which comes no earlier than the longest deadline and 0.7 s. Then answers end them, idle ones are closed, as before.

Unknown classes, shares out of range or off 1, 'Inf' as a time, and repeated lengths are 4xx; an unknown class had been answered 503, a refusal. When connections run short, one that never asked goes first. Complaints in the log are bounded, and a bad query's client waits 50 ms for its next turn.

--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -39,6 +39,7 @@
 	leafShare    = 4                      // of the rest, one in so many is for leaf servers
 	memoryShare  = 0.6                    // of the limit: from there on the collector works harder
 	settleTime   = time.Second            // after SIGTERM: new requests are expected at least so long
+	stayTime     = 600 * time.Millisecond // after SIGTERM: open connections go on; the platform grants the longest deadline and 0.7 s
 	quietTime    = 400 * time.Millisecond // without news, before the listener is closed
 	lastChance   = 100 * time.Millisecond // for a request that crosses the end of its connection
 	pollTime     = 10 * time.Millisecond
@@ -58,6 +59,8 @@
 	settings                settings.Settings
 	known                   choice.List
 	addrs                   map[string]string
+	pace                    front.Pace
+	stay                    time.Duration
 }
 
 func main() {
@@ -180,7 +183,7 @@
 		}
 		return env(variable)
 	}
-	c := &config{name: told("name", "BALANCER_NAME"), listen: told("listen", "BALANCER_LISTEN"),
+	c := &config{pace: front.Usual, stay: stayTime, name: told("name", "BALANCER_NAME"), listen: told("listen", "BALANCER_LISTEN"),
 		discovery: told("discovery", "BALANCER_DISCOVERY")}
 	for field, addr := range map[string]string{"listen": c.listen, "discovery": c.discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
@@ -275,8 +278,12 @@
 	}
 	leaves := (cfg.sockets - spareFiles) / leafShare
 	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, Discovery: cfg.discovery, MaxConns: leaves})
+	classes := make(map[string]bool)
+	for _, c := range cfg.settings.Router.Classes {
+		classes[c.Name] = true
+	}
 	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves,
-		Shards: cfg.settings.Router.Shards})
+		Shards: cfg.settings.Router.Shards, Classes: classes, Pace: cfg.pace})
 	stop := make(chan struct{})
 	b.Apply(cfg.known, cfg.addrs)
 	go x.Run(b, stop)
@@ -317,11 +324,19 @@
 		}
 	}
 	f.Stop()
-	sleep(settleTime)
+	since := time.Now()
+	// Clients use the connections they have for as long as these stay open, and
+	// may have no other mixer yet: closed at once, they had nowhere to ask. What is
+	// taken in this time still has its whole deadline before SIGKILL.
+	for time.Since(since) < cfg.stay && (f.Clients() > 0 || time.Since(since) < settleTime) {
+		sleep(pollTime)
+	}
+	f.Close()
 	// New connections and queries are served until none has come for a while:
 	// what the kernel has accepted is ours, whether or not we have. Probes of the
 	// ready path do not count, or they would keep the mixer up for ever.
-	for x.Open() > 0 || !f.Quiet(quietTime) {
+	for time.Since(since) < settleTime || x.Open() > 0 || !f.Quiet(quietTime) {
+		f.CloseIdle(lastChance)
 		sleep(pollTime)
 	}
 	ln.Close()
--- a/cmd/saddleport/play_test.go
+++ b/cmd/saddleport/play_test.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"saddleport/internal/front"
 )
 
 const patience = 20 * time.Second // for anything a script expects: no verdict hangs on a pace
@@ -34,6 +36,8 @@
 	t       *testing.T
 	listen  string
 	config  string // the file
+	pace    front.Pace
+	stay    time.Duration
 	peers   map[string]*peer
 	signals chan os.Signal
 	ended   chan error
@@ -48,7 +52,7 @@
 			t.Parallel()
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
-			s := &stage{t: t, peers: make(map[string]*peer)}
+			s := &stage{t: t, peers: make(map[string]*peer), pace: front.Pace{First: patience, Request: patience, Idle: patience}}
 			for i, line := range strings.Split(string(text), "\n") {
 				if line = strings.TrimSpace(line); line != "" && line[0] != '#' {
 					s.play(fmt.Sprintf("%s:%d: %s", file, i+1, line), strings.SplitN(line, " ", 3))
@@ -80,6 +84,14 @@
 		s.signals <- map[string]os.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[what]
 		return
 	}
+	if who == "hurry" { // clients have little time; a request that is sent at once still comes
+		s.pace = front.Pace{First: patience / 4, Request: patience / 4, Idle: patience / 40}
+		return
+	}
+	if who == "stay" { // open connections go on after SIGTERM, for as long as any script lasts
+		s.stay = 10 * patience
+		return
+	}
 	if who == "config" { // the file is replaced
 		text, err := os.ReadFile(s.config)
 		require.NoError(s.t, err, at)
@@ -198,6 +210,7 @@
 	s.write(at, string(text), changes)
 	cfg, err := load(s.config, func(string) string { return "" })
 	require.NoError(s.t, err, at)
+	cfg.pace, cfg.stay = s.pace, s.stay
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err, at)
 	s.listen, s.signals, s.ended = ln.Addr().String(), make(chan os.Signal), make(chan error, 1)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,10 +25,12 @@
 )
 
 const (
-	requestTime = 10 * time.Second // for a request's bytes, from the first one on
-	idleTime    = 2 * time.Minute  // between requests
-	writeTime   = 5 * time.Second  // for an answer
+	writeTime   = 5 * time.Second // for an answer
 	lingerTime  = 500 * time.Millisecond
+	silentTime  = 250 * time.Millisecond // a client that has said nothing for so long is the first to make room
+	badPause    = 50 * time.Millisecond  // after a bad query: it may come again and again
+	mostLines   = 20                     // of complaints a second in the log
+	weightSlack = 0.01                   // shares that are rounded may miss 1 by this
 	acceptPause = 10 * time.Millisecond
 	roomPause   = 20 * time.Millisecond
 	// A request may have waited so long for this program, unseen, on a core that
@@ -44,12 +47,28 @@
 	Exchange   *exchange.Exchange
 	MaxClients int // connections at once
 	Shards     int // 0: not told
+	Classes    map[string]bool
+	Pace       Pace
 }
 
+// Pace is how long clients may take.
+type Pace struct {
+	First   time.Duration // for a connection's first request, whole, from its start on
+	Request time.Duration // for any later request, from its first byte on
+	Idle    time.Duration // between requests
+}
+
+// Usual is the pace for service. A client that says nothing, or does not end what
+// it says, is owed an end within 3 s; one without an open request may be closed
+// after 2 s.
+var Usual = Pace{First: 2 * time.Second, Request: 2 * time.Second, Idle: 3 * time.Second}
+
 // Front is the server side.
 type Front struct {
 	Config
-	stopping atomic.Bool
+	stopping atomic.Bool // not ready
+	closing  atomic.Bool // each answer ends its connection
+	lines    gate
 
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
@@ -63,6 +82,7 @@
 	nc      net.Conn
 	r       *httpwire.Reader
 	idleAt  time.Time // since when it waits for a request; zero: it has one in hand
+	asked   bool      // a whole request has come
 	closing bool      // its wait is about to be ended
 }
 
@@ -115,14 +135,27 @@
 }
 
 // evict ends the wait of the connection that has waited longest for a request,
-// or for the rest of one: a client that says nothing must not keep others out.
+// or for the rest of one: a client that says nothing must not keep others out. One
+// that never asked goes first, but not before its request can have come; after it
+// one that rests between requests, whose client asks again elsewhere without harm.
 func (f *Front) evict() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var oldest *conn
+	rank := 0
 	for c := range f.conns {
-		if !c.idleAt.IsZero() && (oldest == nil || c.idleAt.Before(oldest.idleAt)) {
-			oldest = c
+		if c.idleAt.IsZero() {
+			continue
+		}
+		r := 2
+		if !c.asked {
+			r = 1
+			if time.Since(c.idleAt) > silentTime {
+				r = 3
+			}
+		}
+		if r > rank || r == rank && c.idleAt.Before(oldest.idleAt) {
+			oldest, rank = c, r
 		}
 	}
 	if oldest != nil {
@@ -130,10 +163,13 @@
 	}
 }
 
-// Stop makes the mixer not ready. It goes on serving, and tells each client with
-// its answer that the connection ends.
+// Stop makes the mixer not ready. It goes on serving, on the connections that are
+// open too: their clients may have nowhere else to go yet.
 func (f *Front) Stop() { f.stopping.Store(true) }
 
+// Close has each answer tell its client that the connection ends.
+func (f *Front) Close() { f.closing.Store(true) }
+
 // Clients counts the connections of clients.
 func (f *Front) Clients() int {
 	f.mu.Lock()
@@ -167,7 +203,7 @@
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	if !c.idleAt.IsZero() {
-		c.idleAt = time.Time{}
+		c.idleAt, c.asked = time.Time{}, true
 		c.f.busy++
 	}
 }
@@ -180,7 +216,7 @@
 		c.f.busy--
 	}
 	if !c.closing { // else its last chance is already running
-		c.nc.SetReadDeadline(time.Now().Add(idleTime))
+		c.nc.SetReadDeadline(time.Now().Add(c.f.Pace.Idle))
 	}
 }
 
@@ -195,13 +231,15 @@
 		c.f.Exchange.Counters.Clients.Add(-1)
 		<-c.f.room
 	}()
-	c.rest()
+	c.nc.SetReadDeadline(c.idleAt.Add(c.f.Pace.First)) // nothing else writes idleAt before begin
 	for {
 		if c.r.Await() != nil {
 			return
 		}
 		at := time.Now()
-		c.nc.SetReadDeadline(at.Add(requestTime))
+		if c.asked { // the first request has its time already
+			c.nc.SetReadDeadline(at.Add(c.f.Pace.Request))
+		}
 		q, err := c.r.Request(func() error {
 			if !c.put([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
 				return io.ErrClosedPipe
@@ -225,16 +263,20 @@
 func (c *conn) reject(err error) {
 	var known *httpwire.Error
 	var timeout net.Error
+	late := errors.As(err, &timeout) && timeout.Timeout()
 	switch {
 	case errors.As(err, &known):
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case late:
 		known = &httpwire.Error{Status: 408, Reason: "request took too long"}
 	default:
 		return
 	}
 	c.f.Exchange.Counters.Malformed.Add(1)
-	log.Printf("event=bad-request peer=%s status=%d err=%q", c.nc.RemoteAddr(), known.Status, known.Reason)
-	if !c.write(known.Status, known.Reason+"\n", false) {
+	if n, ok := c.f.lines.pass(); ok {
+		log.Printf("event=bad-request peer=%s status=%d err=%q unlogged=%d", c.nc.RemoteAddr(), known.Status,
+			known.Reason, n)
+	}
+	if c.write(known.Status, known.Reason+"\n", false); late { // it has all been read
 		return
 	}
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
@@ -256,7 +298,7 @@
 
 // handle answers one request and tells whether the connection goes on.
 func (c *conn) handle(q *httpwire.Request, at time.Time) bool {
-	keep := q.KeepAlive && !c.f.stopping.Load()
+	keep := q.KeepAlive && !c.f.closing.Load()
 	method := "GET"
 	if q.Path == "/api" {
 		method = "POST"
@@ -286,8 +328,14 @@
 	query, err := c.f.query(q, at)
 	if err != nil {
 		c.f.Exchange.Counters.Malformed.Add(1)
-		log.Printf("event=bad-query peer=%s err=%q", c.nc.RemoteAddr(), err)
-		return c.write(400, err.Error()+"\n", keep)
+		if n, ok := c.f.lines.pass(); ok {
+			log.Printf("event=bad-query peer=%s err=%q unlogged=%d", c.nc.RemoteAddr(), err, n)
+		}
+		if keep = c.write(400, err.Error()+"\n", keep); keep {
+			c.rest() // what it waits here is its own time, and it may be closed meanwhile
+			time.Sleep(badPause)
+		}
+		return keep
 	}
 	return c.exchange(query, q.KeepAlive)
 }
@@ -312,7 +360,7 @@
 		}
 		f = <-final
 	}
-	keep = keep && !c.f.stopping.Load()
+	keep = keep && !c.f.closing.Load()
 	if gone || !c.answer(f, keep) || !keep {
 		c.nc.SetReadDeadline(time.Now()) // frees the goroutine that waits for a request
 		<-next
@@ -364,8 +412,8 @@
 	if !printable(q.ID) {
 		return nil, errors.New("X-Trace-Id: not a printable word of 1 to 128 characters")
 	}
-	if q.Class == "" {
-		return nil, errors.New("X-Qos: missing")
+	if f.Classes != nil && !f.Classes[q.Class] {
+		return nil, errors.New("X-Qos: not the name of a class")
 	}
 	patience, err := span(r.Header.Get("X-Expires-In"))
 	if err != nil {
@@ -384,7 +432,7 @@
 	if !shards.IsArray() {
 		return nil, errors.New("shards: not a list")
 	}
-	seen := make(map[int]bool)
+	seen, sum := make(map[int]bool), 0.0
 	for _, e := range shards.Array() {
 		shard, weight, cost := e.Get("shard"), e.Get("weight"), e.Get("cost")
 		n := shard.Int()
@@ -396,9 +444,10 @@
 			return nil, errors.New("shard: named twice")
 		}
 		seen[int(n)] = true
-		if weight.Type != gjson.Number || !(weight.Num >= 0) || math.IsInf(weight.Num, 0) {
+		if weight.Type != gjson.Number || !(weight.Num > 0 && weight.Num <= 1) {
 			return nil, errors.New("weight: not a share")
 		}
+		sum += weight.Num
 		p := exchange.Part{Shard: int(n), Weight: weight.Num, Key: e.Get("key").String()}
 		if cost.Type == gjson.Number && cost.Num >= 0 && cost.Num < float64(maxPatience.Microseconds()) {
 			p.Hinted, p.Cost = true, choice.Micros(cost.Num)
@@ -408,6 +457,9 @@
 	if len(q.Parts) == 0 {
 		return nil, errors.New("shards: empty")
 	}
+	if math.Abs(sum-1) > weightSlack {
+		return nil, errors.New("weights: do not add up to 1")
+	}
 	return q, nil
 }
 
@@ -431,8 +483,32 @@
 		return 0, errors.New("X-Expires-In: neither m nor u behind a number")
 	}
 	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
-	if err != nil || !(n >= 0) {
-		return 0, errors.New("X-Expires-In: not a number")
+	if err != nil || strings.Trim(s[:len(s)-1], "0123456789.") != "" || n <= 0 { // "Inf" and "0x1p3" are numbers to ParseFloat
+		return 0, errors.New("X-Expires-In: not a number of units")
 	}
 	return time.Duration(min(n*float64(unit), float64(maxPatience))), nil
 }
+
+// gate lets so many lines a second through: clients that flood must not make the
+// log the mixer's main work.
+type gate struct {
+	mu            sync.Mutex
+	at            time.Time
+	passed, stood int
+}
+
+// pass tells whether a line may be written, and how many before it were not.
+func (g *gate) pass() (unlogged int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now := time.Now(); now.Sub(g.at) >= time.Second {
+		g.at, g.passed = now, 0
+	}
+	if g.passed >= mostLines {
+		g.stood++
+		return 0, false
+	}
+	g.passed++
+	unlogged, g.stood = g.stood, 0
+	return unlogged, true
+}
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -4,7 +4,6 @@
 // others. It must never open a socket.
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -23,9 +22,9 @@
 		if err != nil {
 			return
 		}
-		require.True(t, q.Patience >= 0 && q.Patience <= maxPatience && len(q.Parts) > 0, "%+v", q)
+		require.True(t, q.Patience > 0 && q.Patience <= maxPatience && len(q.Parts) > 0, "%+v", q)
 		for _, p := range q.Parts {
-			require.True(t, p.Shard >= 0 && p.Shard < 6 && p.Cost >= 0 && p.Weight >= 0 && !math.IsInf(p.Weight, 0), "%+v", p)
+			require.True(t, p.Shard >= 0 && p.Shard < 6 && p.Cost >= 0 && p.Weight > 0 && p.Weight <= 1, "%+v", p)
 		}
 	})
 }
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -67,7 +67,7 @@
 // Await returns once the next message has begun; at the connection's end it
 // returns the reader's error.
 func (r *Reader) Await() error {
-	r.limit.left = MaxHead + 2*MaxBody
+	r.limit.left = MaxHead // body allows more once the head has told how much
 	_, err := r.buf.Peek(1)
 	return err
 }
@@ -157,6 +157,7 @@
 	case status == 204 || status == 304:
 	case length < 0 && !chunked: // ends with the connection
 		p.KeepAlive = false
+		r.limit.left = MaxBody + 1
 		p.Body, err = io.ReadAll(io.LimitReader(r.buf, MaxBody+1))
 		if err == nil && len(p.Body) > MaxBody {
 			err = &Error{413, "body too large"}
@@ -244,10 +245,8 @@
 	if len(lengths) == 0 {
 		return -1, false, nil
 	}
-	for _, l := range lengths[1:] {
-		if l != lengths[0] {
-			return 0, false, bad("two lengths")
-		}
+	if len(lengths) > 1 {
+		return 0, false, bad("two lengths")
 	}
 	n, err := strconv.ParseUint(lengths[0], 10, 63)
 	if errors.Is(err, strconv.ErrRange) || err == nil && n > MaxBody {
@@ -261,10 +260,15 @@
 
 func (r *Reader) body(length int, chunked bool) ([]byte, error) {
 	if !chunked {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r.buf, body)
+		// Room is made for what has come, not for what was announced.
+		r.limit.left = length
+		body, err := io.ReadAll(io.LimitReader(r.buf, int64(length)))
+		if err == nil && len(body) < length {
+			err = io.ErrUnexpectedEOF
+		}
 		return body, err
 	}
+	r.limit.left = 2 * MaxBody // chunks of a few bytes each bring as much again
 	var body []byte
 	for {
 		line, err := r.text.ReadLine()
