Draw a server that drains since a moment ago where a shard has no other

The probe of refusals showed shards both of whose replicas drained, or one drained and the other was slow with its window full. Guess: a draining server serves on for a while. Faulty: choice.go, bears: any server not Ready was out of every draw at once, though the rule grants 2 s.

Such a server is now drawn, before suspects, within half of the grace, if the news came on a watch that stood; news after a failed call or with a whole list may have counted as told long before, and gives no such time. The sockets' own guard half a second before the grace is over stands.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,9 +21,10 @@
 //   - one part ahead (poison, admit): a query lost every connection; against crashing queries; slows a class.
 //   - trials (draw): a suspect's pause is over; against never trusting again; hurts the part that tries.
 //   - last resort (draw): no sound replica; against unreachable shards; costs time at a dead server.
+//   - leaving (draw): no sound replica but one that drains since a moment ago; hurts what it can't finish.
 //   - windows below one (shrink, outcome): failures in a large tier; against all routers holding one part
 //     each at a full server; delays learning that a server is well.
-//   - crowding: middle latency over a fifth of the aim; against jams of retries; refuses by chance.
+//   - crowding (admit): middle latency over a fifth of the aim; against jams of retries; refuses by chance.
 //   - short time-outs (send): no second copies allowed and time for two attempts; against silent servers;
 //     costs work at slow ones.
 //   - overfilling (admit, draw): the last plan of a query far below its aim, retries; hurts in overload.
@@ -49,6 +50,7 @@
 	planTries   = 4    // draws of a whole plan before a query is refused
 	shareBurst  = 4.0  // seconds of its quota that a tenant may save up
 	easyBelow   = 0.3  // of the aim: queries whose middle part takes less may overfill windows: see planAll
+	leaveShare  = 0.5  // of rules.drain-grace: so long a draining server still stands in for none other
 	overMost    = 3.0  // windows: no server is overfilled further for a query not yet admitted
 	spareShare  = 0.15 // spare parts beyond need, as a share of it; the rest stand by for what is overdue
 	crowdFrom   = 0.2  // of the aim: a class whose middle part takes longer shows a full tier
@@ -58,13 +60,15 @@
 
 // Latencies, per class: two quantiles tracked by small steps.
 const (
-	middle, upper           = 0.5, 0.9
-	quantileStep            = 0.06
-	overdueBy               = 1.5         // overdue: this many times the upper quantile
-	overdueMax              = 0.4         // but no later than this share of the aim, so that a second copy can still help
-	hintSpread              = 4.0         // how far a part's hint may stretch or shrink what is expected of it
+	middle, upper = 0.5, 0.9
+
+	quantileStep = 0.06
+	overdueBy    = 1.5 // overdue: this many times the upper quantile
+	overdueMax   = 0.4 // but no later than this share of the aim, so that a second copy can still help
+	hintSpread   = 4.0 // how far a part's hint may stretch or shrink what is expected of it
+	learnFast    = 4   // the first samples move the quantiles far: the step is 1 / (1 + seen / this) at least
+
 	startMiddle, startUpper = 0.125, 0.25 // of the aim: what the quantiles are taken for before any answer
-	learnFast               = 4           // the first samples move the quantiles far: the step is 1 / (1 + seen / this) at least
 )
 
 // Suspicion.
@@ -205,7 +209,10 @@
 // plan that fails is drawn anew a few times: one full shard must not refuse a query that fits.
 func (r *Router) admit(q *query) {
 	r.size += (float64(len(q.parts)) - r.size) * missStep
-	room := 1 - min(1-missStep, r.crowding(q.class)*float64(len(q.parts))/r.size)
+	room := 1.0
+	if q.class.mid >= crowdFrom*float64(q.class.Aim) { // windows of one part bind nothing then
+		room -= min(1-missStep, r.missed*float64(len(q.parts))/r.size)
+	}
 	if !r.withinShare(q) {
 		room *= room // what is over its tenant's share gives way to what is within
 	}
@@ -214,8 +221,7 @@
 		return
 	}
 	for try := range planTries {
-		easy := r.missed < missStep && q.class.seen >= learnFast && q.class.mid < easyBelow*float64(q.class.Aim)
-		if rest, ok := r.planAll(q, easy && try == planTries-1); ok {
+		if rest, ok := r.planAll(q, try == planTries-1 && r.easy(q.class)); ok {
 			if q.canary = r.now < q.class.watchTo; q.canary {
 				q.lost = 1
 				q.unplan(1)
@@ -234,13 +240,9 @@
 	r.refuse(q)
 }
 
-// crowding is the chance that a query of usual size is refused, a larger one more often: while half of all
-// parts are slow, as many as miss their aim. Windows of one part bound nothing where many routers share it.
-func (r *Router) crowding(c *class) float64 {
-	if c.mid < crowdFrom*float64(c.Aim) {
-		return 0
-	}
-	return r.missed
+// easy tells whether a class was seen to be far below its aim, and few queries miss theirs.
+func (r *Router) easy(c *class) bool {
+	return r.missed < missStep && c.seen >= learnFast && c.mid < easyBelow*float64(c.Aim)
 }
 
 // withinShare takes a query off its tenant's share: a bucket that fills at this router's part of the
@@ -323,9 +325,8 @@
 	r.after(max(Micros(min(late, patience)), 2*r.set.Resolution), func() { r.overdue(a) })
 }
 
-// connect judges the connection an attempt goes out on by how long nothing was heard on it. One that
-// idled is closed first while such ones prove dead, new ones in their place don't, and no bad zone
-// explains it: over a slow link a new one fails. What is still out holds its connection open.
+// connect judges the connection an attempt goes out on by how long nothing was heard on it. One that idled
+// is closed first while such ones prove dead, new ones don't, and no bad zone explains it.
 func (r *Router) connect(a *attempt) {
 	s, c := a.s, a.p.q.class
 	gap := r.now - s.heardAt
@@ -414,9 +415,8 @@
 	}
 }
 
-// poison holds back a query that may crash every server it meets: parts of it lost their connection at
-// servers not yet blamed, and none was served, as some are where links reset or servers die by themselves.
-// Once none is left to come it is given up; then one part goes ahead while its client may ask again.
+// poison holds back a query that may crash every server it meets: parts lost their connection at servers
+// not yet blamed, none was served. Given up, it has one part go ahead while its client may ask again.
 func (r *Router) poison(q *query) {
 	hopeful := func(p *part) bool { out, overdue := p.pending(); return out > overdue }
 	if !slices.ContainsFunc(q.parts, hopeful) {
@@ -609,9 +609,8 @@
 	over              // the same of one that may overfill to be admitted, within bounds
 )
 
-// draw is the uniform random draw among replicas with room: a sound one, but for a trial that is
-// due, and for what the use allows where none has room. Failing servers always have room, for they
-// answer fast; so they are drawn only if no sound replica is left, full or not.
+// draw is the uniform random draw among replicas with room: a sound one, but for a trial that is due, and
+// for what the use allows where none has room. Failing ones, always with room, come last: they answer fast.
 func (r *Router) draw(group []*part, u use) *server {
 	p, c := group[0], group[0].q.class
 	wait, tries := Micros(0), u == first || u == spare
@@ -622,7 +621,7 @@
 	if u == spare || u == second {
 		share = spareRoom
 	}
-	var sound, trial, slow, failing, full, jammed []*server
+	var sound, trial, leaving, slow, failing, full, jammed []*server
 	for j := range r.set.Width {
 		for _, s := range r.cells[(p.shard+j)%r.set.Cells] {
 			if p.tried(s) || !r.bears(s) {
@@ -631,6 +630,10 @@
 			room := s.out == 0 && r.now >= s.openAt || float64(s.out+len(group)) <= s.window*share
 			group := r.cutOff(s)
 			switch {
+			case s.State == Draining:
+				if room && !r.suspect(s, c) {
+					leaving = append(leaving, s)
+				}
 			case group != nil && room && !r.suspect(s, c):
 				slow = append(slow, s)
 				if tries && s.out == 0 && r.now >= group.trialAt+wait {
@@ -652,7 +655,7 @@
 			case u == over && float64(s.out) >= s.window*overMost:
 			case !r.suspect(s, c) && group == nil:
 				full = append(full, s)
-			case s.guilt(c) < failBlame:
+			default:
 				jammed = append(jammed, s)
 			}
 		}
@@ -664,6 +667,8 @@
 		return sound[r.rng.IntN(len(sound))]
 	case u >= must && len(full) > 0:
 		return full[r.rng.IntN(len(full))]
+	case len(leaving) > 0 && !(u == spare || u == second):
+		return leaving[r.rng.IntN(len(leaving))]
 	case len(slow) > 0:
 		return r.try(slow, c)
 	case len(failing) > 0 && len(full) == 0:
@@ -693,15 +698,11 @@
 
 func (s *server) guilt(c *class) int { return max(s.blame, s.blames[c]) }
 
-// bears keeps the work sent to a cold server in any window of rules.fall under what it can do. Many routers
-// share that little: each saves up its own share, from a random start, and sends once that is one part (one
-// each and window would push it over); where nothing is known, all together save up one part a window.
+// bears keeps what is sent to a cold server in any window of rules.fall under what it can do. Each router
+// saves up its share of that, from a random start; where nothing is known, all together one part a window.
 func (r *Router) bears(s *server) bool {
-	if s.State != Ready {
-		return false
-	}
-	if s.coldFrom == 0 {
-		return true
+	if s.State != Ready || s.coldFrom == 0 {
+		return s.State == Ready || s.State == Draining && r.now < s.leaveAt
 	}
 	age := r.now - s.coldFrom - r.set.Fall/2 // capacity in the middle of the window counted
 	if age >= r.set.Cold {
@@ -758,8 +759,7 @@
 			s.window += min(1/s.window, s.window)
 		}
 	case NoAnswer:
-		// Answers lost here and there are no sign of a dead server while it serves
-		// others, and none of a restart: taking them for one made every server cold.
+		// Answers lost here and there are no sign of a dead server while it serves others.
 		if s.served[c] > a.sentAt || a.short {
 			return
 		}
@@ -822,9 +822,8 @@
 	return r.cutOff(a.s) == a.s.groups[0] || a.line == &r.idle && r.idle.worse(r.renewed.bad)
 }
 
-// heaviness is how much slower than usual the query's parts come back, as far
-// as known: a heavy query is slow everywhere, and no server is to blame. The
-// first part back is the fastest of its query, so it is never slow.
+// heaviness is how much slower than usual the query's parts come back: a heavy query is slow everywhere,
+// and no server is to blame. The first part back is the fastest of its query, so it is never slow.
 func (q *query) heaviness(own float64) float64 {
 	if q.paced > 0 {
 		return max(1, math.Exp(q.pace/q.paced))
@@ -886,8 +885,7 @@
 	if span < max(r.set.Fall, 1) || r.ready == 0 {
 		return
 	}
-	rate := float64(r.bins) / (float64(span) / 1e6) / float64(r.ready)
-	r.bearing = max(rate, r.bearing*bearFade)
+	r.bearing = max(float64(r.bins)/(float64(span)/1e6)/float64(r.ready), r.bearing*bearFade)
 	r.bins, r.binAt = 0, r.now
 }
 
@@ -900,6 +898,8 @@
 		r.after(r.askGap, r.askDue)
 		return
 	}
+	// On a watch that stands news is told now; other news may have counted as told before.
+	fresh := ev.Form == Delta && r.askAt == 0
 	if ev.Form != Cached {
 		r.askAt, r.askGap = 0, Micros(float64(r.set.AskWithin)*askShare*askFirst)
 	}
@@ -907,6 +907,9 @@
 	for _, row := range ev.Servers {
 		named[row.ID] = true
 		r.row(row, ev.Form)
+		if s := r.servers[row.ID]; s != nil && fresh && s.State == Draining && s.leaveAt == 0 {
+			s.leaveAt = r.now + Micros(leaveShare*float64(r.set.DrainGrace))
+		}
 	}
 	if ev.Form != Delta {
 		r.absent(named)
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,6 +31,7 @@
 	groups   []*group
 	saved    float64 // while cold: the parts it may be sent
 	savedAt  Micros
+	leaveAt  Micros // while draining: until then it may be drawn, as a last resort
 }
 
 // group is all servers with an equal label.
@@ -321,7 +322,9 @@
 	if state == Gone && s.State != Gone {
 		r.after(r.set.Cold, func() { r.drop(s) })
 	}
-	s.State = state
+	if s.State = state; state != Draining {
+		s.leaveAt = 0
+	}
 }
 
 // drop lets go of a server that is still gone and has nothing out.
--- a/choice/symptoms_test.go
+++ b/choice/symptoms_test.go
@@ -836,3 +836,39 @@
 		t.Fatalf("of 200 each, %d of one part and %d of seven parts refused", refused[1], refused[7])
 	}
 }
+
+// In a release a shard's one sound replica drains while the other is down: the draining one serves on, and
+// queries that were refused for want of it need not be. Only on news that is told now, and not for long.
+func TestDrainingServerStandsInForNone(t *testing.T) {
+	sent := func(form Form, failed bool, wait Micros, replicas int) int {
+		g := listed(t, replicas, func(s *Settings) { s.Width, s.AskDiscovery, s.AskWithin = 1, true, 10*sec })
+		g.step(List{Form: Delta}) // the watch stands
+		if failed {
+			g.step(List{Form: Failed})
+		}
+		all := rows(g.r.set.Cells, replicas)
+		all[0].State = Draining
+		g.step(List{Form: form, Servers: all})
+		g.now += wait
+		n := 0
+		for range 4 {
+			_, evs := g.ask("all", 0)
+			for _, s := range of[Send](g.step(evs...)) {
+				if s.Server == "c0-0" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	grace := testSettings().DrainGrace
+	if n := sent(Delta, false, grace/4, 1); n != 4 {
+		t.Fatalf("%d of 4 parts sent to the one server of a shard, which drains since a moment ago", n)
+	}
+	if n := sent(Delta, false, grace/4, 2); n != 0 {
+		t.Fatalf("%d parts sent to a draining server while another is sound", n)
+	}
+	if n := sent(Full, false, grace/4, 1) + sent(Delta, true, grace/4, 1) + sent(Delta, false, grace, 1); n != 0 {
+		t.Fatalf("%d parts sent to a server that may have drained for long", n)
+	}
+}
