End a leaf connection at an answer to no part; count its parts as errors that ran

Noise, odd lengths, letters, ends and unended lines were found at once; 27 answers bore the id of no query ever asked, and were passed over as late (leaf.go, answer: any id not out counted as late), so the parts they were for waited until they timed out or were overdue, and a silent server was blamed. 14 were late, 9 second copies. No value was cut short or mixed up.

Now an id that is neither out nor ended on that connection ends it, as does a score that is no number and a value that is empty or no text. Parts ended are remembered per connection, answered ones for 2 s, so that second copies and late answers do no harm. Parts out on a connection that we end so count as server errors: as lost connections they could make a query look like one that crashes servers, and its class would send one part ahead for a deadline.

--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -18,9 +18,11 @@
 	"log"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"saddleport/choice"
 	"saddleport/internal/exchange"
@@ -34,6 +36,7 @@
 	connsEach    = 4                      // connections to one server
 	drainMargin  = 500 * time.Millisecond // a send must have left so long before the grace is over
 	staleFor     = 30 * time.Second       // so long may an answer to a part given up still come
+	copyFor      = 2 * time.Second        // so long may a second copy of an answer still come
 	sweepEvery   = 500 * time.Millisecond
 	dialFallback = 250 * time.Millisecond // where the settings tell no time for it
 	idleShare    = 0.9                    // of the servers' idle time: ours is over first
@@ -101,10 +104,11 @@
 	ready  *sync.Cond
 	queue  []item
 	calls  map[string]*call     // attempts by part id, until ended or given up in writing
-	stale  map[string]time.Time // parts given up here, whose answer may still come
+	stale  map[string]time.Time // parts ended here, until when an answer to them may still come
 	probes []*call              // in the order of their frames
 	usedAt time.Time
 	closed bool
+	spoilt bool // something came on it that is no answer
 }
 
 // New returns a client side that knows no server yet.
@@ -355,8 +359,8 @@
 				c.fail(nil)
 				continue
 			}
-			for id, at := range c.stale {
-				if time.Since(at) > staleFor {
+			for id, until := range c.stale {
+				if time.Now().After(until) {
 					delete(c.stale, id)
 				}
 			}
@@ -383,6 +387,10 @@
 	b, s := c.b, c.s
 	b.conns--
 	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
+	var told *spoiltError
+	if c.spoilt = errors.As(err, &told); c.spoilt {
+		b.Exchange.Counters.Spoilt.Add(1)
+	}
 	if err != nil && len(c.calls) > 0 {
 		b.Exchange.Counters.Resets.Add(1)
 		log.Printf("event=leaf-lost server=%s addr=%s parts=%d err=%q", s.name, c.addr, len(c.calls), err)
@@ -407,9 +415,14 @@
 	}
 }
 
-// lose ends a call whose frame was written whole when its connection ended.
+// lose ends a call whose frame was written whole when its connection ended. If
+// we ended it for what the server said, the server erred; neither the process nor
+// the way to it is down.
 func (c *conn) lose(k *call) {
 	v := choice.ConnectionLost
+	if c.spoilt {
+		v = choice.ServerError
+	}
 	if k.gaveUp {
 		v = k.verdict
 	}
@@ -492,7 +505,7 @@
 	case err != nil:
 		c.b.finish(k, choice.NoConnection, nil, "")
 	case letter == 'X':
-		c.stale[k.a.PartID] = time.Now()
+		c.stale[k.a.PartID] = time.Now().Add(staleFor)
 		c.b.finish(k, k.verdict, nil, "")
 	case c.closed:
 		c.lose(k)
@@ -522,6 +535,14 @@
 	}
 }
 
+// spoiltError is an answer that can't be used. Which part it was for is not to
+// be known, nor whether what follows can be read: the connection must end.
+type spoiltError struct{ what string }
+
+func (e *spoiltError) Error() string { return "spoilt answer: " + e.what }
+
+func spoilt(format string, args ...any) error { return &spoiltError{fmt.Sprintf(format, args...)} }
+
 // frame reads one frame and does what it says.
 func (c *conn) frame(r *bufio.Reader) error {
 	var size [4]byte
@@ -530,7 +551,7 @@
 	}
 	n := binary.BigEndian.Uint32(size[:])
 	if n < 1 || n > maxFrame {
-		return fmt.Errorf("malformed frame: length %d", n)
+		return spoilt("length %d", n)
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
@@ -544,7 +565,7 @@
 	case 'E':
 		return fmt.Errorf("refused frame: %.80q", rest)
 	default:
-		return fmt.Errorf("malformed frame: letter %q", letter)
+		return spoilt("letter %q", letter)
 	}
 }
 
@@ -554,22 +575,31 @@
 	line, value, ok := bytes.Cut(rest, []byte("\n"))
 	fields := strings.Split(string(line), " ")
 	if !ok || len(fields) != 4 {
-		return errors.New("malformed answer: not four fields")
+		return spoilt("not a line of four fields")
 	}
 	v, known := ends[fields[1]]
-	if !known {
-		return fmt.Errorf("malformed answer: end %.20q", fields[1])
+	if _, err := strconv.ParseUint(fields[2], 10, 64); !known || err != nil {
+		return spoilt("end %.20q, score %.20q", fields[1], fields[2])
+	}
+	if v == choice.Served && (len(value) == 0 || !utf8.Valid(value)) {
+		return spoilt("a value of %d bytes that is no text", len(value))
 	}
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
 	c.usedAt = time.Now()
 	k := c.calls[fields[0]]
 	if k == nil || k.state != writing && k.state != out {
-		// To a part given up here, whose answer was on its way.
-		delete(c.stale, fields[0])
+		// An answer to a part given up here was on its way, or comes twice. Any other
+		// was for a part that is out and would wait for it in vain.
+		if _, ended := c.stale[fields[0]]; !ended {
+			return spoilt("id %.80q of no part", fields[0])
+		}
 		c.b.Exchange.Counters.Late.Add(1)
 		return nil
 	}
+	if v != choice.TurnedAway { // that may be asked again here
+		c.stale[fields[0]] = time.Now().Add(copyFor)
+	}
 	c.b.finish(k, v, report(fields[3]), string(value))
 	return nil
 }
@@ -579,7 +609,7 @@
 	defer c.b.mu.Unlock()
 	c.usedAt = time.Now()
 	if len(c.probes) == 0 {
-		return errors.New("malformed frame: answer to no probe")
+		return spoilt("to no probe")
 	}
 	k := c.probes[0]
 	c.probes = c.probes[1:]
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -28,6 +28,7 @@
 	Dials     atomic.Int64 // leaf connections tried
 	DialFails atomic.Int64
 	Resets    atomic.Int64 // leaf connections that ended under parts
+	Spoilt    atomic.Int64 // of these and idle ones, ended for an answer that can't be used
 	Late      atomic.Int64 // answers for attempts already given up
 	Lists     atomic.Int64 // answers of discovery
 	ListFails atomic.Int64
@@ -62,6 +63,7 @@
 	put("dials", &c.Dials)
 	put("dial_fails", &c.DialFails)
 	put("resets", &c.Resets)
+	put("spoilt", &c.Spoilt)
 	put("late", &c.Late)
 	put("lists", &c.Lists)
 	put("list_fails", &c.ListFails)
