Take no new calls on a leaf connection that fell silent

Cause: connections fell silent or stopped in the middle of an answer while their servers were well, and leaf.go (place) put every further part for such a server on them: the module saw both replicas of a shard dead, tried them again and again, over the same dead connections. Ruled out: leaked counts of parts out (every attempt sent had its outcome), the clients that leave (their queries end as gone).

A connection on which a part waited for more than half of its time with nothing heard since, or on which three in a row were called off, takes no new calls and ends with those still out.

--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -33,7 +33,9 @@
 	maxFrame     = 128 << 10
 	writeTime    = time.Second            // a write that takes longer ends its connection
 	probeTime    = time.Second            // a probe that takes longer has failed
-	connsEach    = 4                      // connections to one server
+	connsEach    = 4                      // connections to one server that take calls
+	connsMost    = 12                     // with those that fell silent and still have calls out
+	mostUnheard  = 3                      // calls called off in a row with nothing heard, before a connection counts as silent
 	drainMargin  = 500 * time.Millisecond // a send must have left so long before the grace is over
 	staleFor     = 30 * time.Second       // so long may an answer to a part given up still come
 	copyFor      = 2 * time.Second        // so long may a second copy of an answer still come
@@ -86,6 +88,7 @@
 	c       *conn
 	state   state
 	begun   time.Time
+	sentAt  time.Time // when its frame was written
 	gaveUp  bool
 	verdict choice.Verdict // with gaveUp: how it ends once the server is told
 	done    bool
@@ -107,6 +110,11 @@
 	stale  map[string]time.Time // parts ended here, until when an answer to them may still come
 	probes []*call              // in the order of their frames
 	usedAt time.Time
+
+	heardAt time.Time // the last whole answer
+	unheard int       // calls ended in vain since
+	silent  bool      // takes no new calls
+
 	closed bool
 	spoilt bool // something came on it that is no answer
 }
@@ -222,7 +230,7 @@
 		return
 	}
 	for _, c := range s.conns {
-		if c.addr != s.addr || b.Settings.StreamsPerConn > 0 && len(c.calls) >= b.Settings.StreamsPerConn {
+		if c.silent || c.addr != s.addr || b.Settings.StreamsPerConn > 0 && len(c.calls) >= b.Settings.StreamsPerConn {
 			continue
 		}
 		letter := byte('P')
@@ -250,7 +258,13 @@
 // open opens one connection to a server, unless one is being opened or there
 // are enough; what waits then waits for room.
 func (b *Back) open(s *server) {
-	if s.dialing || len(s.conns) >= connsEach {
+	live := 0
+	for _, c := range s.conns {
+		if !c.silent {
+			live++
+		}
+	}
+	if s.dialing || live >= connsEach || len(s.conns) >= connsMost {
 		return
 	}
 	if b.conns >= b.MaxConns && !b.evict() {
@@ -308,7 +322,7 @@
 		}
 		return
 	}
-	c := &conn{b: b, s: s, nc: nc, addr: addr, ready: sync.NewCond(&b.mu), usedAt: time.Now(),
+	c := &conn{b: b, s: s, nc: nc, addr: addr, ready: sync.NewCond(&b.mu), usedAt: time.Now(), heardAt: time.Now(),
 		calls: make(map[string]*call), stale: make(map[string]time.Time)}
 	s.conns = append(s.conns, c)
 	go c.write()
@@ -341,6 +355,7 @@
 	delete(b.calls, k.a)
 	if k.c != nil && k.c.calls[k.a.PartID] == k {
 		delete(k.c.calls, k.a.PartID)
+		k.c.unanswered(k, v)
 	}
 	b.Exchange.Ended(k.a, v, load, value)
 	if k.c != nil && len(k.s.waiting) > 0 { // there is room on a connection
@@ -348,6 +363,33 @@
 	}
 }
 
+// unanswered notes that a call ended with nothing heard since it went out. A
+// connection can fall silent, or stop in the middle of an answer, while its server
+// is well and the system says nothing: parts that are put on it again and again
+// would all wait in vain, and their server would look dead for ever. It takes no
+// new calls, and ends with those that are still out.
+func (c *conn) unanswered(k *call, v choice.Verdict) {
+	if k.state == out && c.heardAt.Before(k.sentAt) && (v == choice.NoAnswer || v == choice.CalledOff) {
+		c.unheard++
+		lasting := c.unheard >= mostUnheard && time.Since(c.heardAt) > c.b.dial.Timeout
+		// Called off because its query ended is as good as timed out, if it was late.
+		late := v == choice.NoAnswer || 2*time.Since(k.sentAt) > k.a.Until.Sub(k.sentAt)
+		if !c.silent && (late || lasting) {
+			c.silent = true
+			c.b.Exchange.Counters.Silent.Add(1)
+			log.Printf("event=leaf-silent server=%s addr=%s parts=%d", c.s.name, c.addr, len(c.calls))
+		}
+	}
+	if c.silent && !c.closed && c.idle() {
+		c.fail(nil)
+	}
+}
+
+// heard notes that a whole answer has come.
+func (c *conn) heard() {
+	c.usedAt, c.heardAt, c.unheard = time.Now(), time.Now(), 0
+}
+
 // sweep closes what has idled and forgets what can't come any more.
 func (b *Back) sweep() {
 	b.mu.Lock()
@@ -510,7 +552,7 @@
 	case c.closed:
 		c.lose(k)
 	default:
-		k.state = out
+		k.state, k.sentAt = out, time.Now()
 		if k.gaveUp {
 			c.push(item{'X', k})
 		}
@@ -586,7 +628,7 @@
 	}
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
-	c.usedAt = time.Now()
+	c.heard()
 	k := c.calls[fields[0]]
 	if k == nil || k.state != writing && k.state != out {
 		// An answer to a part given up here was on its way, or comes twice. Any other
@@ -607,7 +649,7 @@
 func (c *conn) probed(rest []byte) error {
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
-	c.usedAt = time.Now()
+	c.heard()
 	if len(c.probes) == 0 {
 		return spoilt("to no probe")
 	}
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -29,6 +29,7 @@
 	DialFails atomic.Int64
 	Resets    atomic.Int64 // leaf connections that ended under parts
 	Spoilt    atomic.Int64 // of these and idle ones, ended for an answer that can't be used
+	Silent    atomic.Int64 // leaf connections that fell silent
 	Late      atomic.Int64 // answers for attempts already given up
 	Lists     atomic.Int64 // answers of discovery
 	ListFails atomic.Int64
@@ -64,6 +65,7 @@
 	put("dial_fails", &c.DialFails)
 	put("resets", &c.Resets)
 	put("spoilt", &c.Spoilt)
+	put("silent", &c.Silent)
 	put("late", &c.Late)
 	put("lists", &c.Lists)
 	put("list_fails", &c.ListFails)
