Spread a server's parts over two connections, each to the one with fewer out

The log showed a connection falling silent two to three times a second, each with up to four parts on it, and leaf.go (place) used one connection per server until that carried 100: for the quarter of a second until a time-out, every part for the server went there, and the module blamed the server, for nothing else of it was served meanwhile.

Where calls carry one part, a second connection is now opened, behind the one in use, once that carries two parts; each part goes to the one with fewer out. What the other brings clears the server, and fewer parts are lost with one. It is not done where parts share frames, nor when leaf descriptors run short.

Counter: leaves.

--- a/cmd/saddleport/play_test.go
+++ b/cmd/saddleport/play_test.go
@@ -80,6 +80,14 @@
 		require.Contains(s.t, got.String(), strings.Join(words[1:], " "), at)
 		return
 	}
+	if who == "until" { // counters, until they hold this
+		for got := ""; !strings.Contains(got, strings.Join(words[1:], " ")); {
+			var out strings.Builder
+			require.NoError(s.t, counters(&out, s.listen), at)
+			got = out.String()
+		}
+		return
+	}
 	if who == "signal" {
 		s.signals <- map[string]os.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[what]
 		return
--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -34,6 +34,7 @@
 	writeTime    = time.Second            // a write that takes longer ends its connection
 	probeTime    = time.Second            // a probe that takes longer has failed
 	connsEach    = 4                      // connections to one server that take calls
+	connsSpread  = 2                      // so many are used before one carries two calls at a time
 	connsMost    = 12                     // with those that fell silent and still have calls out
 	mostUnheard  = 3                      // calls called off in a row with nothing heard, before a connection counts as silent
 	drainMargin  = 500 * time.Millisecond // a send must have left so long before the grace is over
@@ -229,23 +230,39 @@
 		b.finish(k, choice.NotSent, nil, "")
 		return
 	}
+	// The one with the fewest calls: what hangs on a connection that fell silent, or
+	// that a spoilt answer ends, should be little, and what is left should tell the
+	// decisions that the server is well.
+	var best *conn
+	live, alone := 0, b.Settings.Router.BundleMax <= 1 // else parts of one moment keep together, to share a frame
 	for _, c := range s.conns {
 		if c.silent || c.addr != s.addr || b.Settings.StreamsPerConn > 0 && len(c.calls) >= b.Settings.StreamsPerConn {
 			continue
 		}
+		live++
+		if k.a != nil {
+			if _, stale := c.stale[k.a.PartID]; stale || c.calls[k.a.PartID] != nil {
+				continue
+			}
+		}
+		if best == nil || alone && len(c.calls) < len(best.calls) {
+			best = c
+		}
+	}
+	if best != nil {
+		if alone && len(best.calls) > 0 && live < connsSpread && b.conns < b.MaxConns*3/4 {
+			b.open(s) // for the calls to come
+		}
 		letter := byte('P')
 		if b.Settings.PullReports {
 			letter = 'L'
 		}
 		if k.a != nil {
 			letter = 'Q'
-			if _, stale := c.stale[k.a.PartID]; stale || c.calls[k.a.PartID] != nil {
-				continue
-			}
-			c.calls[k.a.PartID] = k
+			best.calls[k.a.PartID] = k
 		}
-		k.c, k.state = c, queued
-		c.push(item{letter, k})
+		k.c, k.state = best, queued
+		best.push(item{letter, k})
 		return
 	}
 	k.c, k.state = nil, waiting
@@ -325,6 +342,7 @@
 	c := &conn{b: b, s: s, nc: nc, addr: addr, ready: sync.NewCond(&b.mu), usedAt: time.Now(), heardAt: time.Now(),
 		calls: make(map[string]*call), stale: make(map[string]time.Time)}
 	s.conns = append(s.conns, c)
+	b.Exchange.Counters.Leaves.Add(1)
 	go c.write()
 	go c.read()
 	b.pump(s)
@@ -428,6 +446,7 @@
 	c.ready.Signal()
 	b, s := c.b, c.s
 	b.conns--
+	b.Exchange.Counters.Leaves.Add(-1)
 	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
 	var told *spoiltError
 	if c.spoilt = errors.As(err, &told); c.spoilt {
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -25,6 +25,7 @@
 	Clients   atomic.Int64 // client connections open
 	Accepted  atomic.Int64 // client connections accepted
 	Malformed atomic.Int64 // requests answered 4xx or 5xx by the framing
+	Leaves    atomic.Int64 // leaf connections open
 	Dials     atomic.Int64 // leaf connections tried
 	DialFails atomic.Int64
 	Resets    atomic.Int64 // leaf connections that ended under parts
@@ -61,6 +62,7 @@
 	put("clients", &c.Clients)
 	put("accepted", &c.Accepted)
 	put("malformed", &c.Malformed)
+	put("leaves", &c.Leaves)
 	put("dials", &c.Dials)
 	put("dial_fails", &c.DialFails)
 	put("resets", &c.Resets)
