Keep few client connections at rest, those that bring queries longest

Probes showed: no stall of accept, no overflow of the listen queue, all that came was answered; 3650 connections asked for readiness once and stayed, 1339 said nothing, and usual clients opened one connection a query and kept it.

Now, beyond an eighth of the descriptors one connection at rest ends for each that comes or comes to rest: first one that never asked, then one that never brought a query, then the one at rest longest. Few clients rest as before.

--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -36,6 +36,7 @@
 
 const (
 	spareFiles   = 32                     // descriptors kept for all but connections of clients and leaf servers
+	keepShare    = 8                      // of all: beyond so many client connections those at rest are ended
 	leafShare    = 4                      // of the rest, one in so many is for leaf servers
 	memoryShare  = 0.6                    // of the limit: from there on the collector works harder
 	settleTime   = time.Second            // after SIGTERM: new requests are expected at least so long
@@ -282,7 +283,7 @@
 	for _, c := range cfg.settings.Router.Classes {
 		classes[c.Name] = true
 	}
-	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves,
+	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves, Keep: cfg.sockets / keepShare,
 		Shards: cfg.settings.Router.Shards, Classes: classes, Pace: cfg.pace})
 	stop := make(chan struct{})
 	b.Apply(cfg.known, cfg.addrs)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,6 +46,7 @@
 type Config struct {
 	Exchange   *exchange.Exchange
 	MaxClients int // connections at once
+	Keep       int // beyond so many, one at rest ends for each that comes or comes to rest; 0: none does
 	Shards     int // 0: not told
 	Classes    map[string]bool
 	Pace       Pace
@@ -83,6 +84,7 @@
 	r       *httpwire.Reader
 	idleAt  time.Time // since when it waits for a request; zero: it has one in hand
 	asked   bool      // a whole request has come
+	queried bool      // so has a query that could be read
 	closing bool      // its wait is about to be ended
 }
 
@@ -110,6 +112,7 @@
 		c := &conn{f: f, nc: nc, r: httpwire.NewReader(nc), idleAt: time.Now()}
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
+		f.tidy()
 		f.mu.Unlock()
 		f.Exchange.Counters.Accepted.Add(1)
 		f.Exchange.Counters.Clients.Add(1)
@@ -125,7 +128,9 @@
 	default:
 	}
 	for {
-		f.evict()
+		f.mu.Lock()
+		f.evict(0)
+		f.mu.Unlock()
 		select {
 		case f.room <- struct{}{}:
 			return
@@ -136,25 +141,27 @@
 
 // evict ends the wait of the connection that has waited longest for a request,
 // or for the rest of one: a client that says nothing must not keep others out. One
-// that never asked goes first, but not before its request can have come; after it
-// one that rests between requests, whose client asks again elsewhere without harm.
-func (f *Front) evict() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// that never asked goes first, but not before its request can have come; then one
+// that only asked for the mixer's state, or nonsense; then one that rests between
+// queries, whose client asks again elsewhere. By age alone, clients that ask once and
+// stay would drive out those that go on asking.
+// Under f.mu; rank 0 is any, 1 none that has just come.
+func (f *Front) evict(rank int) {
 	var oldest *conn
-	rank := 0
 	for c := range f.conns {
 		if c.idleAt.IsZero() {
 			continue
 		}
-		r := 2
-		if !c.asked {
-			r = 1
-			if time.Since(c.idleAt) > silentTime {
-				r = 3
-			}
+		r := 1
+		switch silent := time.Since(c.idleAt) > silentTime; {
+		case !c.asked && silent:
+			r = 4
+		case c.asked && !c.queried:
+			r = 3
+		case c.queried:
+			r = 2
 		}
-		if r > rank || r == rank && c.idleAt.Before(oldest.idleAt) {
+		if r > rank || r == rank && oldest != nil && c.idleAt.Before(oldest.idleAt) {
 			oldest, rank = c, r
 		}
 	}
@@ -163,6 +170,15 @@
 	}
 }
 
+// tidy keeps few connections at rest. The other side holds only so many to us, and
+// clients that ask once and keep their connection use them up: no new client would
+// get through, though there was room here. Under f.mu.
+func (f *Front) tidy() {
+	if f.Keep > 0 && len(f.conns) > f.Keep {
+		f.evict(1)
+	}
+}
+
 // Stop makes the mixer not ready. It goes on serving, on the connections that are
 // open too: their clients may have nowhere else to go yet.
 func (f *Front) Stop() { f.stopping.Store(true) }
@@ -211,12 +227,13 @@
 func (c *conn) rest() {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
+	if !c.closing { // else its last chance is already running
+		c.nc.SetReadDeadline(time.Now().Add(c.f.Pace.Idle))
+	}
 	if c.idleAt.IsZero() {
 		c.idleAt = time.Now()
 		c.f.busy--
-	}
-	if !c.closing { // else its last chance is already running
-		c.nc.SetReadDeadline(time.Now().Add(c.f.Pace.Idle))
+		c.f.tidy()
 	}
 }
 
@@ -337,6 +354,9 @@
 		}
 		return keep
 	}
+	c.f.mu.Lock()
+	c.queried = true
+	c.f.mu.Unlock()
 	return c.exchange(query, q.KeepAlive)
 }
 
