Read an operator file; log on slog with level and component; move wiring to internal/app

Plug-ins and what follows need settings beside the platform's, and lines that can be told apart. internal/inifile reads typed INI with file, line, section and key in each complaint; internal/operator checks a whole file before any of it counts and prints each value with its origin; internal/logs writes key=value on log/slog, repeated lines bounded per event. The wiring of main.go is a package now. Without a file the program is as before: all recorded exchanges pass unchanged.

--- a/cmd/saddleport/play_test.go
+++ b/internal/app/play_test.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 // This file plays recorded byte exchanges from testdata/ against the whole
 // program, with the test as its clients, leaf servers and discovery. It owns the
@@ -76,14 +76,14 @@
 	}
 	if who == "counters" { // what the sub-command prints holds this
 		var got strings.Builder
-		require.NoError(s.t, counters(&got, s.listen), at)
+		require.NoError(s.t, countersAt(&got, s.listen), at)
 		require.Contains(s.t, got.String(), strings.Join(words[1:], " "), at)
 		return
 	}
 	if who == "until" { // counters, until they hold this
 		for got := ""; !strings.Contains(got, strings.Join(words[1:], " ")); {
 			var out strings.Builder
-			require.NoError(s.t, counters(&out, s.listen), at)
+			require.NoError(s.t, countersAt(&out, s.listen), at)
 			got = out.String()
 		}
 		return
@@ -216,7 +216,7 @@
 	text = regexp.MustCompile(`"@\w+"`).ReplaceAll(text, []byte(`"127.0.0.1:1"`))
 	s.config = filepath.Join(s.t.TempDir(), "config.json")
 	s.write(at, string(text), changes)
-	cfg, err := load(s.config, func(string) string { return "" })
+	cfg, err := Load(s.config, func(string) string { return "" })
 	require.NoError(s.t, err, at)
 	cfg.pace, cfg.stay = s.pace, s.stay
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- /dev/null
+++ b/internal/app/serve.go
@@ -0,0 +1,207 @@
+// Package app puts a mixer together: the configuration, the process's limits and
+// signals, the two sides, the exchange, and what the operator file turns on. It
+// must never decide anything about a query, and never end while an answer is owed.
+package app
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"saddleport/internal/back"
+	"saddleport/internal/exchange"
+	"saddleport/internal/front"
+	"saddleport/internal/logs"
+)
+
+const (
+	spareFiles   = 32                     // descriptors kept for all but connections of clients and leaf servers
+	keepShare    = 8                      // of all: beyond so many client connections those at rest are ended
+	leafShare    = 4                      // of the rest, one in so many is for leaf servers
+	memoryShare  = 0.6                    // of the limit: from there on the collector works harder
+	settleTime   = time.Second            // after SIGTERM: new requests are expected at least so long
+	stayTime     = 600 * time.Millisecond // after SIGTERM: open connections go on; the platform grants the longest deadline and 0.7 s
+	quietTime    = 400 * time.Millisecond // without news, before the listener is closed
+	lastChance   = 100 * time.Millisecond // for a request that crosses the end of its connection
+	pollTime     = 10 * time.Millisecond
+	askTime      = 2 * time.Second // for a running mixer's answer
+	listenTime   = 5 * time.Second
+	countersTime = 10 * time.Second
+)
+
+var log = logs.For("app")
+
+// Serve runs a mixer until SIGTERM. Files that are wrong end the start.
+func Serve(config, operator string) error {
+	// Before all else: until it is asked for, SIGHUP ends the program.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	cfg, err := Load(config, os.Getenv)
+	if err != nil {
+		return err
+	}
+	cfg.operator = operator
+	ln, err := listen(cfg.listen)
+	if err != nil {
+		return err
+	}
+	return serve(cfg, ln, signals)
+}
+
+// mixer is one that runs.
+type mixer struct {
+	cfg  *Config
+	op   *Operator
+	x    *exchange.Exchange
+	back *back.Back
+}
+
+// reload rereads the files and takes over what may change in service: the address
+// of discovery. A file that is wrong anywhere changes nothing: half of it might
+// belong to another version of the fleet.
+func (m *mixer) reload() {
+	c, b := m.cfg, m.back
+	now, err := Load(c.path, c.env)
+	if err == nil {
+		err = now.Check()
+	}
+	var op *Operator
+	if err == nil {
+		op, err = LoadOperator(c.operator)
+	}
+	if err != nil {
+		log.Error("reload-failed", "discovery", c.discovery, "err", err)
+		return
+	}
+	var kept []string
+	for field, same := range map[string]bool{"name": now.name == c.name, "listen": now.listen == c.listen,
+		"limits":   now.cores == c.cores && now.memoryMB == c.memoryMB && now.sockets == c.sockets,
+		"settings": reflect.DeepEqual(now.settings, c.settings)} {
+		if !same {
+			kept = append(kept, field)
+		}
+	}
+	slices.Sort(kept)
+	log.Info("reload", "discovery", now.discovery, "was", c.discovery, "kept", strings.Join(kept, ","))
+	if now.discovery != c.discovery {
+		c.discovery = now.discovery
+		b.Switch(c.discovery)
+	}
+	m.apply(op)
+}
+
+// apply turns to what the operator file says now.
+func (m *mixer) apply(op *Operator) {
+	m.op = op
+	if op.File.Path != "" {
+		logs.Apply(op.Log)
+	}
+}
+
+// listen takes the address. After a restart the process before may hold it for a
+// moment yet, which must not end the start.
+func listen(addr string) (net.Listener, error) {
+	for until := time.Now().Add(listenTime); ; time.Sleep(listenTime / 50) {
+		ln, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return ln, err
+		}
+	}
+}
+
+// serve runs a mixer on a listener until a signal comes and all it has taken is
+// answered.
+func serve(cfg *Config, ln net.Listener, signals <-chan os.Signal) error {
+	op, err := LoadOperator(cfg.operator)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.cores))))
+	debug.SetMemoryLimit(int64(float64(cfg.memoryMB) * memoryShare * (1 << 20)))
+	x, err := exchange.New(cfg.seed, cfg.settings)
+	if err != nil {
+		return err
+	}
+	leaves := (cfg.sockets - spareFiles) / leafShare
+	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, Discovery: cfg.discovery, MaxConns: leaves})
+	m := &mixer{cfg: cfg, x: x, back: b}
+	m.apply(op)
+	classes := make(map[string]bool)
+	for _, c := range cfg.settings.Router.Classes {
+		classes[c.Name] = true
+	}
+	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves, Keep: cfg.sockets / keepShare,
+		Shards: cfg.settings.Router.Shards, Classes: classes, Pace: cfg.pace})
+	stop := make(chan struct{})
+	b.Apply(cfg.known, cfg.addrs)
+	go x.Run(b, stop)
+	go b.Run(stop)
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(ln) }()
+	log.Info("start", "name", cfg.name, "listen", ln.Addr(), "discovery", cfg.discovery, "known", len(cfg.known.Servers),
+		"clients", cfg.sockets-spareFiles-leaves, "leaves", leaves)
+	tick := time.NewTicker(countersTime)
+	defer tick.Stop()
+	for stopping := false; !stopping; {
+		select {
+		case <-tick.C:
+			log.Info("counters", "", logs.Pairs(x.Counters.String()))
+		case err := <-served:
+			return fmt.Errorf("the listener ended: %w", err)
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				m.reload()
+				continue
+			}
+			log.Info("stopping", "signal", s, "open", x.Open())
+			stopping = true
+		}
+	}
+	// A configuration that comes while the mixer stops counts too: queries are
+	// still served, and drains are still to be learned.
+	sleep := func(d time.Duration) {
+		for end := time.After(d); ; {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					m.reload()
+				}
+			case <-end:
+				return
+			}
+		}
+	}
+	f.Stop()
+	since := time.Now()
+	// Clients use the connections they have for as long as these stay open, and
+	// may have no other mixer yet: closed at once, they had nowhere to ask. What is
+	// taken in this time still has its whole deadline before SIGKILL.
+	for time.Since(since) < cfg.stay && (f.Clients() > 0 || time.Since(since) < settleTime) {
+		sleep(pollTime)
+	}
+	f.Close()
+	// New connections and queries are served until none has come for a while:
+	// what the kernel has accepted is ours, whether or not we have. Probes of the
+	// ready path do not count, or they would keep the mixer up for ever.
+	for time.Since(since) < settleTime || x.Open() > 0 || !f.Quiet(quietTime) {
+		f.CloseIdle(lastChance)
+		sleep(pollTime)
+	}
+	ln.Close()
+	for f.CloseIdle(lastChance); f.Clients() > 0; f.CloseIdle(lastChance) {
+		sleep(pollTime)
+	}
+	close(stop)
+	log.Info("stopped", "", logs.Pairs(x.Counters.String()))
+	return nil
+}
--- a/internal/back/discovery.go
+++ b/internal/back/discovery.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -157,7 +156,7 @@
 	}
 	if err != nil {
 		b.Exchange.Counters.ListFails.Add(1)
-		log.Printf("event=discovery-failed addr=%s err=%q", addr, err)
+		log.Warn("discovery-failed", "addr", addr, "err", err)
 		b.Exchange.Listed(choice.List{Form: choice.Failed})
 		return false
 	}
@@ -202,7 +201,7 @@
 		}
 	}
 	if len(list.Servers) > 0 || list.Form != choice.Delta {
-		log.Printf("event=list form=%d version=%d entries=%d", list.Form, list.Version, len(list.Servers))
+		log.Info("list", "form", int(list.Form), "version", list.Version, "entries", len(list.Servers))
 	}
 	b.Exchange.Listed(list)
 }
@@ -248,7 +247,7 @@
 		s.State = state
 		_, _, badAddr := net.SplitHostPort(e.Get("address").String())
 		if s.ID == "" || !known || s.Cell < 0 || s.Cell >= cells || badAddr != nil && state != choice.Gone {
-			log.Printf("event=list-entry-skipped entry=%.120q", e.Raw)
+			log.Warn("list-entry-skipped", "entry", e.Raw[:min(len(e.Raw), 120)])
 			continue
 		}
 		list.Servers = append(list.Servers, s)
--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -15,7 +15,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"slices"
 	"strconv"
@@ -26,6 +25,7 @@
 
 	"saddleport/choice"
 	"saddleport/internal/exchange"
+	"saddleport/internal/logs"
 	"saddleport/internal/settings"
 )
 
@@ -45,6 +45,8 @@
 	idleShare    = 0.9                    // of the servers' idle time: ours is over first
 )
 
+var log = logs.For("back")
+
 // Config is what the client side is told at its start.
 type Config struct {
 	Exchange  *exchange.Exchange
@@ -314,7 +316,7 @@
 
 func (b *Back) failWaiting(s *server, err error) {
 	b.Exchange.Counters.DialFails.Add(1)
-	log.Printf("event=dial-failed server=%s addr=%s waiting=%d err=%q", s.name, s.addr, len(s.waiting), err)
+	log.Warn("dial-failed", "server", s.name, "addr", s.addr, "waiting", len(s.waiting), "err", err)
 	failed := s.waiting
 	s.waiting = nil
 	for _, k := range failed {
@@ -395,7 +397,7 @@
 		if !c.silent && (late || lasting) {
 			c.silent = true
 			c.b.Exchange.Counters.Silent.Add(1)
-			log.Printf("event=leaf-silent server=%s addr=%s parts=%d", c.s.name, c.addr, len(c.calls))
+			log.Warn("leaf-silent", "server", c.s.name, "addr", c.addr, "parts", len(c.calls))
 		}
 	}
 	if c.silent && !c.closed && c.idle() {
@@ -454,7 +456,7 @@
 	}
 	if err != nil && len(c.calls) > 0 {
 		b.Exchange.Counters.Resets.Add(1)
-		log.Printf("event=leaf-lost server=%s addr=%s parts=%d err=%q", s.name, c.addr, len(c.calls), err)
+		log.Warn("leaf-lost", "server", s.name, "addr", c.addr, "parts", len(c.calls), "err", err)
 	}
 	var again []*call
 	for _, i := range c.queue {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,18 +8,19 @@
 
 import (
 	"container/heap"
-	"errors"
 	"fmt"
-	"log"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"saddleport/choice"
+	"saddleport/internal/logs"
 	"saddleport/internal/settings"
 )
 
+var log = logs.For("exchange")
+
 // Query is a query as the server side took it.
 type Query struct {
 	ID       string
@@ -369,7 +370,7 @@
 	if h.ended {
 		return
 	}
-	log.Printf("event=overdue id=%s class=%s", h.ID, h.Class)
+	log.Error("overdue", "id", h.ID, "class", h.Class)
 	x.Counters.Overdue.Add(1)
 	x.end(h, Final{Ending: Expired})
 	x.events = append(x.events, choice.ClientLeft{ID: h.ID})
@@ -425,9 +426,9 @@
 	case choice.Fetch:
 		x.leaves.Fetch()
 	case choice.Log:
-		log.Printf("event=decision text=%q", a.Text)
+		log.Info("decision", "text", a.Text)
 	case choice.Tell:
-		log.Printf("event=untold err=%q", errors.New("this platform has no way between mixers"))
+		log.Warn("untold", "err", "this platform has no way between mixers")
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,7 +8,6 @@
 import (
 	"errors"
 	"io"
-	"log"
 	"math"
 	"net"
 	"strconv"
@@ -22,6 +21,7 @@
 	"saddleport/choice"
 	"saddleport/internal/exchange"
 	"saddleport/internal/httpwire"
+	"saddleport/internal/logs"
 )
 
 const (
@@ -29,7 +29,6 @@
 	lingerTime  = 500 * time.Millisecond
 	silentTime  = 250 * time.Millisecond // a client that has said nothing for so long is the first to make room
 	badPause    = 50 * time.Millisecond  // after a bad query: it may come again and again
-	mostLines   = 20                     // of complaints a second in the log
 	weightSlack = 0.01                   // shares that are rounded may miss 1 by this
 	acceptPause = 10 * time.Millisecond
 	roomPause   = 20 * time.Millisecond
@@ -42,6 +41,8 @@
 	maxID       = 128
 )
 
+var log = logs.For("front")
+
 // Config is what the server side is told at its start.
 type Config struct {
 	Exchange   *exchange.Exchange
@@ -69,7 +70,6 @@
 	Config
 	stopping atomic.Bool // not ready
 	closing  atomic.Bool // each answer ends its connection
-	lines    gate
 
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
@@ -105,7 +105,7 @@
 		}
 		if err != nil {
 			<-f.room
-			log.Printf("event=accept-failed err=%q", err)
+			log.Warn("accept-failed", "err", err)
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -289,10 +289,7 @@
 		return
 	}
 	c.f.Exchange.Counters.Malformed.Add(1)
-	if n, ok := c.f.lines.pass(); ok {
-		log.Printf("event=bad-request peer=%s status=%d err=%q unlogged=%d", c.nc.RemoteAddr(), known.Status,
-			known.Reason, n)
-	}
+	log.Warn("bad-request", "peer", c.nc.RemoteAddr(), "status", known.Status, "err", known.Reason)
 	if c.write(known.Status, known.Reason+"\n", false); late { // it has all been read
 		return
 	}
@@ -345,9 +342,7 @@
 	query, err := c.f.query(q, at)
 	if err != nil {
 		c.f.Exchange.Counters.Malformed.Add(1)
-		if n, ok := c.f.lines.pass(); ok {
-			log.Printf("event=bad-query peer=%s err=%q unlogged=%d", c.nc.RemoteAddr(), err, n)
-		}
+		log.Warn("bad-query", "peer", c.nc.RemoteAddr(), "err", err)
 		if keep = c.write(400, err.Error()+"\n", keep); keep {
 			c.rest() // what it waits here is its own time, and it may be closed meanwhile
 			time.Sleep(badPause)
@@ -508,27 +503,3 @@
 	}
 	return time.Duration(min(n*float64(unit), float64(maxPatience))), nil
 }
-
-// gate lets so many lines a second through: clients that flood must not make the
-// log the mixer's main work.
-type gate struct {
-	mu            sync.Mutex
-	at            time.Time
-	passed, stood int
-}
-
-// pass tells whether a line may be written, and how many before it were not.
-func (g *gate) pass() (unlogged int, ok bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now := time.Now(); now.Sub(g.at) >= time.Second {
-		g.at, g.passed = now, 0
-	}
-	if g.passed >= mostLines {
-		g.stood++
-		return 0, false
-	}
-	g.passed++
-	unlogged, g.stood = g.stood, 0
-	return unlogged, true
-}
--- /dev/null
+++ b/internal/inifile/decode.go
@@ -0,0 +1,277 @@
+package inifile
+
+// This file turns sections into structs. A field's tags say all there is to know
+// of its key:
+//
+//	ini:"workers"        the key; a field without it is passed over
+//	default:"4"          the value where the file gives none
+//	range:"1..64"        the least and the most, in the field's own form
+//	oneof:"skip refuse"  the words allowed (for a list: for each item)
+//	need:"yes"           the file must give it
+//	help:"..."           one line for people
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bytes is a size. It is written with a unit: B, KiB, MiB or GiB.
+type Bytes int64
+
+func (b Bytes) String() string {
+	for _, u := range units {
+		if b >= u.size && b%u.size == 0 {
+			return strconv.FormatInt(int64(b/u.size), 10) + u.name
+		}
+	}
+	return "0B"
+}
+
+var units = []struct {
+	name string
+	size Bytes
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// Field is one key of a struct, as people are shown it.
+type Field struct {
+	Key, Value, Default, Range, Help string
+	Kind                             string // what form it has: "span", "size", "whole number", ...
+}
+
+// Default fills a struct with its tags' defaults.
+func Default(into any) {
+	if err := (&Section{}).Decode(into); err != nil && !strings.Contains(err.Error(), "must be given") {
+		panic("inifile: a default does not pass its own check: " + err.Error())
+	}
+}
+
+// Decode fills a struct from the section: what the section does not give gets its
+// default. The first fault, by line, is returned.
+func (s *Section) Decode(into any) error {
+	v := reflect.ValueOf(into).Elem()
+	known := make(map[string]reflect.StructField)
+	var names []string
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		key := f.Tag.Get("ini")
+		if key == "" {
+			continue
+		}
+		known[key] = f
+		names = append(names, key)
+		if text, ok := f.Tag.Lookup("default"); ok {
+			if err := set(v.Field(i), f, text); err != nil {
+				return s.Fault(key, "default %v", err)
+			}
+		}
+	}
+	for _, k := range s.Keys {
+		f, ok := known[k.Name]
+		if !ok {
+			return s.Fault(k.Name, "no such key here%s", guess(k.Name, names))
+		}
+		if err := set(v.FieldByIndex(f.Index), f, k.Value); err != nil {
+			return s.Fault(k.Name, "%v", err)
+		}
+	}
+	for key, f := range known {
+		if f.Tag.Get("need") != "" && !s.Has(key) {
+			return s.Fault("", "%s must be given", key)
+		}
+	}
+	return nil
+}
+
+// guess names the key that was probably meant.
+func guess(word string, known []string) string {
+	best, least := "", 3
+	for _, k := range known {
+		if d := distance(word, k); d < least {
+			best, least = k, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return "; is " + best + " meant?"
+}
+
+// distance is the Levenshtein distance of two short words.
+func distance(a, b string) int {
+	if len(a) > 64 || len(b) > 64 {
+		return 64
+	}
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		corner := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			corner, row[j+1] = row[j+1], min(row[j]+1, row[j+1]+1, corner+cost)
+		}
+	}
+	return row[len(b)]
+}
+
+// Fields lists the keys of a struct with what they hold.
+func Fields(of any) []Field {
+	v := reflect.Indirect(reflect.ValueOf(of))
+	var out []Field
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if key := f.Tag.Get("ini"); key != "" {
+			out = append(out, Field{Key: key, Value: show(v.Field(i).Interface()), Default: f.Tag.Get("default"),
+				Range: f.Tag.Get("range") + f.Tag.Get("oneof"), Help: f.Tag.Get("help"), Kind: kind(v.Field(i).Interface())})
+		}
+	}
+	return out
+}
+
+func show(v any) string {
+	if l, ok := v.([]string); ok {
+		return strings.Join(l, ", ")
+	}
+	return fmt.Sprint(v)
+}
+
+func kind(v any) string {
+	switch v.(type) {
+	case time.Duration:
+		return "span"
+	case Bytes:
+		return "size"
+	case int:
+		return "whole number"
+	case float64:
+		return "number"
+	case bool:
+		return "yes or no"
+	case []string:
+		return "list"
+	}
+	return "text"
+}
+
+func set(into reflect.Value, f reflect.StructField, text string) error {
+	low, high, ranged := strings.Cut(f.Tag.Get("range"), "..")
+	oneof := strings.Fields(f.Tag.Get("oneof"))
+	within := func(v, least, most float64) error {
+		if ranged && (v < least || v > most) {
+			return fmt.Errorf("%q is not within %s to %s", text, low, high)
+		}
+		return nil
+	}
+	switch into.Interface().(type) {
+	case time.Duration:
+		d, err := Span(text)
+		if err != nil {
+			return err
+		}
+		least, _ := time.ParseDuration(low)
+		most, _ := time.ParseDuration(high)
+		if err := within(float64(d), float64(least), float64(most)); err != nil {
+			return err
+		}
+		into.SetInt(int64(d))
+	case Bytes:
+		n, err := Size(text)
+		if err != nil {
+			return err
+		}
+		least, _ := Size(low)
+		most, _ := Size(high)
+		if err := within(float64(n), float64(least), float64(most)); err != nil {
+			return err
+		}
+		into.SetInt(int64(n))
+	case int:
+		n, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return fmt.Errorf("%q is not a whole number", text)
+		}
+		least, _ := strconv.ParseFloat(low, 64)
+		most, _ := strconv.ParseFloat(high, 64)
+		if err := within(float64(n), least, most); err != nil {
+			return err
+		}
+		into.SetInt(n)
+	case float64:
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+			return fmt.Errorf("%q is not a number", text)
+		}
+		least, _ := strconv.ParseFloat(low, 64)
+		most, _ := strconv.ParseFloat(high, 64)
+		if err := within(n, least, most); err != nil {
+			return err
+		}
+		into.SetFloat(n)
+	case bool:
+		switch text {
+		case "yes", "true", "on":
+			into.SetBool(true)
+		case "no", "false", "off":
+			into.SetBool(false)
+		default:
+			return fmt.Errorf("%q is neither yes nor no", text)
+		}
+	case string:
+		if len(oneof) > 0 && !slices.Contains(oneof, text) {
+			return fmt.Errorf("%q is none of: %s", text, strings.Join(oneof, ", "))
+		}
+		into.SetString(text)
+	case []string:
+		var list []string
+		for item := range strings.SplitSeq(text, ",") {
+			if item = strings.TrimSpace(item); item == "" {
+				continue
+			}
+			if len(oneof) > 0 && !slices.Contains(oneof, item) {
+				return fmt.Errorf("%q is none of: %s", item, strings.Join(oneof, ", "))
+			}
+			if slices.Contains(list, item) {
+				return fmt.Errorf("%q stands twice", item)
+			}
+			list = append(list, item)
+		}
+		into.Set(reflect.ValueOf(list))
+	default:
+		panic("inifile: field " + f.Name + " has a type without a form")
+	}
+	return nil
+}
+
+// Span reads a span of time, such as 250us, 3ms or 1m30s. A bare number has no
+// unit and is refused, 0 but for.
+func Span(text string) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, fmt.Errorf("%q is not a span with a unit (us, ms, s, m, h)", text)
+	}
+	return d, nil
+}
+
+// Size reads a size with its unit.
+func Size(text string) (Bytes, error) {
+	for _, u := range units {
+		if number, ok := strings.CutSuffix(text, u.name); ok {
+			n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+			if err != nil || n < 0 || n > math.MaxInt64/int64(u.size) {
+				break
+			}
+			return Bytes(n) * u.size, nil
+		}
+	}
+	return 0, fmt.Errorf("%q is not a size with a unit (B, KiB, MiB, GiB)", text)
+}
--- /dev/null
+++ b/internal/inifile/inifile.go
@@ -0,0 +1,199 @@
+// Package inifile reads INI documents into typed structs. It owns the form of
+// every INI file of the project (operator file, hook manifests, drills): which
+// lines are allowed, how a value becomes a number, a span or a size, and the
+// words of a complaint. It must never know what a key is for, fill in a value
+// that neither the file nor a field's tag gives, or pass over what it does not
+// understand.
+//
+// The text is taken apart by gopkg.in/ini.v1. That library keeps no line numbers
+// and merges what stands twice, so the lines are scanned beside it, and the two
+// readings must agree.
+package inifile
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// The bounds of a document.
+const (
+	MaxBytes = 256 << 10
+	MaxKeys  = 4096
+)
+
+// Error says what is wrong and where. Line counts from 1; 0 where no line is at
+// fault. Section and Key are empty where the fault is not in one.
+type Error struct {
+	File, Section, Key string
+	Line               int
+	Problem            string
+}
+
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		fmt.Fprintf(&b, ":%d", e.Line)
+	}
+	if e.Section != "" {
+		fmt.Fprintf(&b, ": [%s]", e.Section)
+	}
+	if e.Key != "" {
+		fmt.Fprintf(&b, " %s", e.Key)
+	}
+	return b.String() + ": " + e.Problem
+}
+
+// Doc is a document: its sections in the order of the file.
+type Doc struct {
+	File     string
+	Sections []*Section
+}
+
+// Section is one section. Kind is the first word of its name, Label the rest:
+// "[hook clinic]" has the kind "hook" and the label "clinic".
+type Section struct {
+	File, Name, Kind, Label string
+	Line                    int
+	Keys                    []Key
+}
+
+// Key is one line of a section.
+type Key struct {
+	Name, Value string
+	Line        int
+}
+
+// Read reads a file.
+func Read(file string) (*Doc, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text := make([]byte, MaxBytes+1)
+	n := 0
+	for n < len(text) {
+		m, err := f.Read(text[n:])
+		n += m
+		if m == 0 || err != nil {
+			break
+		}
+	}
+	return Parse(file, text[:n])
+}
+
+// Parse reads a text; file is its name in complaints.
+func Parse(file string, text []byte) (*Doc, error) {
+	if len(text) > MaxBytes {
+		return nil, &Error{File: file, Problem: fmt.Sprintf("more than %d bytes", MaxBytes)}
+	}
+	text = bytes.ReplaceAll(text, []byte("\r\n"), []byte("\n"))
+	doc, err := scan(file, string(text))
+	if err != nil {
+		return nil, err
+	}
+	read, err := ini.LoadSources(ini.LoadOptions{IgnoreContinuation: true, KeyValueDelimiters: "=",
+		SkipUnrecognizableLines: false, UnescapeValueDoubleQuotes: true}, text)
+	if err != nil {
+		return nil, &Error{File: file, Problem: err.Error()}
+	}
+	for _, s := range doc.Sections {
+		got, err := read.GetSection(s.Name)
+		if err != nil || len(got.Keys()) != len(s.Keys) {
+			return nil, &Error{File: file, Section: s.Name, Line: s.Line, Problem: "can't be read; is a value longer than its line?"}
+		}
+		for i := range s.Keys {
+			if !got.HasKey(s.Keys[i].Name) {
+				return nil, &Error{File: file, Section: s.Name, Key: s.Keys[i].Name, Line: s.Keys[i].Line, Problem: "can't be read"}
+			}
+			s.Keys[i].Value = got.Key(s.Keys[i].Name).Value()
+		}
+	}
+	return doc, nil
+}
+
+// scan finds the sections and keys with their lines.
+func scan(file, text string) (*Doc, error) {
+	doc := &Doc{File: file}
+	seen := make(map[string]int)
+	keys := make(map[string]int)
+	var s *Section
+	total := 0
+	for i, line := range strings.Split(text, "\n") {
+		at := i + 1
+		line = strings.TrimSpace(strings.TrimPrefix(line, "\ufeff"))
+		if line == "" || line[0] == '#' || line[0] == ';' {
+			continue
+		}
+		if line[0] == '[' {
+			end := strings.IndexByte(line, ']')
+			rest := ""
+			if end > 0 {
+				rest = strings.TrimSpace(line[end+1:])
+			}
+			if end < 0 || rest != "" && rest[0] != '#' && rest[0] != ';' {
+				return nil, &Error{File: file, Line: at, Problem: fmt.Sprintf("%.40q is no section head", line)}
+			}
+			name := strings.Join(strings.Fields(line[1:end]), " ")
+			if name == "" || name != line[1:end] || strings.EqualFold(name, ini.DefaultSection) {
+				return nil, &Error{File: file, Line: at, Problem: fmt.Sprintf("%.40q is no section name", line[1:end])}
+			}
+			if was := seen[name]; was > 0 {
+				return nil, &Error{File: file, Section: name, Line: at, Problem: fmt.Sprintf("stands on line %d already", was)}
+			}
+			seen[name] = at
+			kind, label, _ := strings.Cut(name, " ")
+			s = &Section{File: file, Name: name, Kind: kind, Label: label, Line: at}
+			doc.Sections = append(doc.Sections, s)
+			clear(keys)
+			continue
+		}
+		key, value, ok := strings.Cut(line, "=")
+		key = strings.TrimSpace(key)
+		if !ok || key == "" || strings.ContainsAny(key, "\"`' \t[]") {
+			return nil, &Error{File: file, Line: at, Problem: fmt.Sprintf("%.40q is neither a section nor key = value", line)}
+		}
+		if s == nil {
+			return nil, &Error{File: file, Key: key, Line: at, Problem: "stands before any section"}
+		}
+		if value = strings.TrimSpace(value); strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`") {
+			return nil, &Error{File: file, Section: s.Name, Key: key, Line: at, Problem: "a value must end on its line"}
+		}
+		if was := keys[key]; was > 0 {
+			return nil, &Error{File: file, Section: s.Name, Key: key, Line: at, Problem: fmt.Sprintf("stands on line %d already", was)}
+		}
+		keys[key] = at
+		if total++; total > MaxKeys {
+			return nil, &Error{File: file, Line: at, Problem: fmt.Sprintf("more than %d keys", MaxKeys)}
+		}
+		s.Keys = append(s.Keys, Key{Name: key, Line: at})
+	}
+	return doc, nil
+}
+
+// Fault is a complaint about a key of the section, or about the section itself
+// where it has no such key.
+func (s *Section) Fault(key, format string, args ...any) error {
+	e := &Error{File: s.File, Section: s.Name, Key: key, Line: s.Line, Problem: fmt.Sprintf(format, args...)}
+	for _, k := range s.Keys {
+		if k.Name == key {
+			e.Line = k.Line
+		}
+	}
+	return e
+}
+
+// Has tells whether the section gives a key.
+func (s *Section) Has(key string) bool {
+	for _, k := range s.Keys {
+		if k.Name == key {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,212 @@
+// Package logs writes the program's log: one line an event, key=value, on
+// log/slog. It owns the form of a line, the level, and the bound on lines that
+// repeat. It must never block a caller on anything but the one write, drop a line
+// without counting it, or hold anything that grows with what peers send: the
+// events are words in the code.
+//
+// A line is
+//
+//	2026/12/01 13:20:59.123456 level=info component=back event=dial-failed server=s-3 err="..."
+//
+// Every event stands in docs/oncall.md; a test holds the page to the code.
+package logs
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Settings are the operator file's section [log].
+type Settings struct {
+	Level  string `ini:"level" default:"info" oneof:"debug info warn error" help:"the least level that is written"`
+	Repeat int    `ini:"repeat" default:"20" range:"0..10000" help:"lines a second of one event; 0: no bound. unlogged= tells how many were left out"`
+}
+
+// sink is where all lines go.
+type sink struct {
+	level  slog.LevelVar
+	repeat atomic.Int64
+
+	mu    sync.Mutex
+	w     io.Writer
+	now   func() time.Time
+	gates map[string]*gate
+	buf   []byte
+}
+
+// gate bounds the lines of one event of one component.
+type gate struct {
+	at            time.Time
+	passed, stood int
+}
+
+var std = newSink(os.Stderr, time.Now)
+
+func newSink(w io.Writer, now func() time.Time) *sink {
+	s := &sink{w: w, now: now, gates: make(map[string]*gate)}
+	s.repeat.Store(20)
+	return s
+}
+
+// For returns the logger of a component. Its messages are the events' names.
+func For(component string) *slog.Logger { return slog.New(&handler{s: std, component: component}) }
+
+// Apply sets the level and the bound; it may be called at any time.
+func Apply(set Settings) {
+	var level slog.Level
+	if level.UnmarshalText([]byte(set.Level)) == nil {
+		std.level.Set(level)
+	}
+	std.repeat.Store(int64(set.Repeat))
+}
+
+// To sends the lines elsewhere and returns what sends them back, for tests.
+func To(w io.Writer) (back func()) {
+	std.mu.Lock()
+	defer std.mu.Unlock()
+	was := std.w
+	std.w = w
+	return func() {
+		std.mu.Lock()
+		defer std.mu.Unlock()
+		std.w = was
+	}
+}
+
+// handler is a slog.Handler for one component.
+type handler struct {
+	s         *sink
+	component string
+	attrs     []slog.Attr
+	group     string
+}
+
+func (h *handler) Enabled(_ context.Context, l slog.Level) bool { return l >= h.s.level.Level() }
+
+func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	more := *h
+	more.attrs = append(append([]slog.Attr(nil), h.attrs...), attrs...)
+	return &more
+}
+
+func (h *handler) WithGroup(name string) slog.Handler {
+	more := *h
+	more.group += name + "."
+	return &more
+}
+
+func (h *handler) Handle(_ context.Context, r slog.Record) error {
+	s := h.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	g := s.gates[h.component+" "+r.Message]
+	if g == nil {
+		g = &gate{}
+		s.gates[h.component+" "+r.Message] = g
+	}
+	if most := s.repeat.Load(); most > 0 {
+		if now.Sub(g.at) >= time.Second {
+			g.at, g.passed = now, 0
+		}
+		if int64(g.passed) >= most {
+			g.stood++
+			return nil
+		}
+		g.passed++
+	}
+	b := now.UTC().AppendFormat(s.buf[:0], "2006/01/02 15:04:05.000000")
+	b = append(b, " level="...)
+	b = append(b, level(r.Level)...)
+	b = append(b, " component="...)
+	b = append(b, h.component...)
+	b = append(b, " event="...)
+	b = append(b, r.Message...)
+	for _, a := range h.attrs {
+		b = appendAttr(b, h.group, a)
+	}
+	r.Attrs(func(a slog.Attr) bool {
+		b = appendAttr(b, h.group, a)
+		return true
+	})
+	if g.stood > 0 {
+		b = append(b, " unlogged="...)
+		b = strconv.AppendInt(b, int64(g.stood), 10)
+		g.stood = 0
+	}
+	b = append(b, '\n')
+	s.buf = b
+	if cap(s.buf) > 64<<10 { // one long line must not be kept for ever
+		s.buf = nil
+	}
+	_, err := s.w.Write(b)
+	return err
+}
+
+func level(l slog.Level) string {
+	switch {
+	case l >= slog.LevelError:
+		return "error"
+	case l >= slog.LevelWarn:
+		return "warn"
+	case l >= slog.LevelInfo:
+		return "info"
+	}
+	return "debug"
+}
+
+// Pairs is a value that is key=value pairs already: it is written as it is.
+type Pairs string
+
+const maxValue = 2000 // bytes of one value in a line
+
+func appendAttr(b []byte, group string, a slog.Attr) []byte {
+	v := a.Value.Resolve()
+	if v.Kind() == slog.KindGroup {
+		for _, inner := range v.Group() {
+			b = appendAttr(b, group+a.Key+".", inner)
+		}
+		return b
+	}
+	b = append(b, ' ')
+	if raw, ok := v.Any().(Pairs); ok {
+		return append(b, raw...)
+	}
+	b = append(b, group...)
+	b = append(b, a.Key...)
+	b = append(b, '=')
+	text := ""
+	switch v.Kind() {
+	case slog.KindInt64:
+		return strconv.AppendInt(b, v.Int64(), 10)
+	case slog.KindUint64:
+		return strconv.AppendUint(b, v.Uint64(), 10)
+	case slog.KindBool:
+		return strconv.AppendBool(b, v.Bool())
+	default:
+		text = v.String()
+	}
+	if len(text) > maxValue {
+		text = text[:maxValue] + "..."
+	}
+	if plain(text) {
+		return append(b, text...)
+	}
+	return strconv.AppendQuote(b, text)
+}
+
+// plain tells whether a value can stand without quotes.
+func plain(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c >= 0x7f || c == '"' || c == '=' || c == '\\' {
+			return false
+		}
+	}
+	return s != ""
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,177 @@
+// Package operator reads the operator file: what an installation sets beside the
+// platform's configuration. It owns the reading, the checking as a whole, and the
+// printing with where each value came from. It knows no section: each is a struct
+// of the package that it configures, handed in by the wiring. It must never let a
+// part of a file count when another part is wrong.
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"saddleport/internal/inifile"
+)
+
+// Section is one section that the file may hold.
+type Section struct {
+	Name string
+	Help string
+	// Into is a pointer to the struct that gets the values; see package inifile
+	// for its tags.
+	Into any
+	// Check, if set, looks at the values once all of the file has been read.
+	// A *KeyError names the key that is at fault.
+	Check func() error
+}
+
+// KeyError is a fault of one key that its form does not show.
+type KeyError struct{ Key, Problem string }
+
+func (e *KeyError) Error() string { return e.Key + ": " + e.Problem }
+
+// Origin says where a value came from.
+type Origin struct {
+	File string
+	Line int // 0: the default
+}
+
+func (o Origin) String() string {
+	if o.Line == 0 {
+		return "default"
+	}
+	return fmt.Sprintf("%s:%d", o.File, o.Line)
+}
+
+// File is a file that has been read and found right.
+type File struct {
+	Path     string // empty: there is none, and all is as the defaults say
+	sections []Section
+	origins  map[string]Origin // by section and key
+}
+
+// Load reads the file at path into the sections. With an empty path all get
+// their defaults. After an error the sections' structs are not to be used: hand
+// in fresh ones with each call.
+func Load(path string, sections []Section) (*File, error) {
+	f := &File{Path: path, sections: sections, origins: make(map[string]Origin)}
+	for _, s := range sections {
+		inifile.Default(s.Into)
+	}
+	doc := &inifile.Doc{File: path}
+	var err error
+	if path != "" {
+		if doc, err = inifile.Read(path); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.take(doc)
+}
+
+// Parse is Load on a text.
+func Parse(path string, text []byte, sections []Section) (*File, error) {
+	f := &File{Path: path, sections: sections, origins: make(map[string]Origin)}
+	doc, err := inifile.Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	return f, f.take(doc)
+}
+
+func (f *File) take(doc *inifile.Doc) error {
+	read := make(map[string]*inifile.Section)
+	for _, s := range doc.Sections {
+		known := f.section(s.Name)
+		if known == nil {
+			return s.Fault("", "no such section; there are: %s", strings.Join(f.names(), ", "))
+		}
+		if err := s.Decode(known.Into); err != nil {
+			return err
+		}
+		read[s.Name] = s
+		for _, k := range s.Keys {
+			f.origins[s.Name+" "+k.Name] = Origin{filepath.Base(f.Path), k.Line}
+		}
+	}
+	for _, s := range f.sections {
+		if s.Check == nil {
+			continue
+		}
+		if err := s.Check(); err != nil {
+			at := read[s.Name]
+			if at == nil {
+				at = &inifile.Section{File: f.Path, Name: s.Name}
+			}
+			var key *KeyError
+			if errors.As(err, &key) {
+				return at.Fault(key.Key, "%s", key.Problem)
+			}
+			return at.Fault("", "%v", err)
+		}
+	}
+	return nil
+}
+
+func (f *File) section(name string) *Section {
+	for i := range f.sections {
+		if f.sections[i].Name == name {
+			return &f.sections[i]
+		}
+	}
+	return nil
+}
+
+func (f *File) names() []string {
+	var out []string
+	for _, s := range f.sections {
+		out = append(out, s.Name)
+	}
+	return out
+}
+
+// Print writes every value in force with its default, range and origin.
+func (f *File) Print(w io.Writer) error {
+	if f.Path == "" {
+		fmt.Fprintln(w, "# no operator file: all is as the defaults say")
+	} else {
+		fmt.Fprintf(w, "# %s\n", f.Path)
+	}
+	for _, s := range f.sections {
+		fmt.Fprintf(w, "\n[%s]  # %s\n", s.Name, s.Help)
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		for _, k := range inifile.Fields(s.Into) {
+			def := k.Default
+			if def == "" {
+				def = "none"
+			}
+			note := fmt.Sprintf("# %s, default %s", k.Kind, def)
+			if k.Range != "" {
+				note += ", " + k.Range
+			}
+			fmt.Fprintf(t, "%s\t= %s\t%s\t(%s)\t%s\n", k.Key, k.Value, note, f.origins[s.Name+" "+k.Key], k.Help)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Value is one key in force, for the JSON form.
+type Value struct {
+	Section, Key, Value, Default, Range, Origin, Help string
+}
+
+// Values lists every key in force.
+func (f *File) Values() []Value {
+	var out []Value
+	for _, s := range f.sections {
+		for _, k := range inifile.Fields(s.Into) {
+			out = append(out, Value{s.Name, k.Key, k.Value, k.Default, k.Range, f.origins[s.Name+" "+k.Key].String(), k.Help})
+		}
+	}
+	return out
+}
