--- /dev/null
+++ b/internal/core/breaker/breaker_test.go
@@ -0,0 +1,142 @@
+package breaker
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const second = int64(1e6)
+
+func call(b *Breaker, now int64, failed bool) bool {
+	ok, trial := b.Allow(now)
+	if ok {
+		b.Record(now, trial, failed, "x")
+	}
+	return ok
+}
+
+func TestStreakAndShare(t *testing.T) {
+	b := New(Usual, 0)
+	for i := range 5 {
+		require.True(t, call(b, int64(i), true))
+	}
+	require.Equal(t, Open, b.State)
+	require.Equal(t, "5 failures in a row: x", b.Reason)
+	require.False(t, call(b, second/2, false))
+
+	b = New(Usual, 0)
+	for i := range 25 { // each third fails: never five in a row
+		call(b, int64(i)*1000, i%3 == 0)
+	}
+	require.Equal(t, Open, b.State)
+	require.Contains(t, b.Reason, "calls failed")
+}
+
+// Failures that have left the window do not count.
+func TestWindow(t *testing.T) {
+	b := New(Usual, 0)
+	for i := range 200 { // one in eight, over 200 s
+		require.True(t, call(b, int64(i)*second, i%8 == 0))
+	}
+	require.Equal(t, Closed, b.State)
+	calls, _ := b.Counts()
+	require.LessOrEqual(t, calls, 11)
+}
+
+func TestTrials(t *testing.T) {
+	b := New(Usual, 0)
+	for i := range 5 {
+		call(b, int64(i), true)
+	}
+	now := b.Until
+	ok, trial := b.Allow(now)
+	require.True(t, ok && trial)
+	other, _ := b.Allow(now)
+	require.False(t, other, "one at a time")
+	b.Skip(trial)
+	for range Usual.Trials {
+		require.Equal(t, Trial, b.State)
+		require.True(t, call(b, now, false))
+	}
+	require.Equal(t, Closed, b.State)
+	// A call from before it opened that ends now is no evidence.
+	b.Record(now, true, true, "late")
+	require.Equal(t, Closed, b.State)
+}
+
+// A hook that works for 3 s and fails for 3 s, called 100 times a second for ten
+// minutes, must not swing the breaker: each opening waits longer.
+func TestFlapping(t *testing.T) {
+	b := New(Usual, 0)
+	for now := int64(0); now < 600*second; now += second / 100 {
+		call(b, now, now/(3*second)%2 == 1)
+	}
+	require.LessOrEqual(t, b.Opened, 24)
+	require.GreaterOrEqual(t, b.Pause, 30*second)
+}
+
+// After calm time the memory of old failures fades.
+func TestCalm(t *testing.T) {
+	b := New(Usual, 0)
+	fail := func(now int64) {
+		for call(b, now, true); b.State != Open; {
+			call(b, now, true)
+		}
+	}
+	fail(0)
+	for range 4 {
+		fail(b.Until)
+	}
+	require.Equal(t, 16*second, b.Pause)
+	now := b.Until
+	for b.State != Closed {
+		call(b, now, false)
+	}
+	fail(now + 10*Usual.Calm)
+	require.Equal(t, Usual.FirstPause, b.Pause)
+}
+
+// Whatever happens: open lets nothing through before its time, trial one at a
+// time, a pause keeps its bounds, and no thing that works again is shut out.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(Usual, 0)
+		now, out := int64(0), 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 3*second).Draw(t, "gap")
+			before := *b
+			ok, trial := b.Allow(now)
+			if before.State == Open && now < before.Until && ok {
+				t.Fatal("let through while open")
+			}
+			if trial {
+				if out++; out > 1 {
+					t.Fatal("two trials at once")
+				}
+			}
+			if !ok {
+				continue
+			}
+			if rapid.Bool().Draw(t, "skip") {
+				b.Skip(trial)
+			} else {
+				b.Record(now, trial, rapid.Bool().Draw(t, "failed"), "x")
+			}
+			if trial {
+				out--
+			}
+			if b.Pause != 0 && (b.Pause < Usual.FirstPause || b.Pause > Usual.MostPause) {
+				t.Fatalf("pause %d", b.Pause)
+			}
+		}
+		now += Usual.MostPause
+		for range Usual.Trials {
+			call(b, now, false)
+		}
+		if b.State != Closed {
+			t.Fatalf("still %v", b.State)
+		}
+	})
+}
