Add the hook host with two engines, and the seam in the exchange

Hospitals want their own hooks in a running mixer. The exchange meets them at one seam (internal/exchange/hooks.go), asked through a bounded pool, each ask with an alarm of its own; sets are loaded beside the one in force and freed with their last query.

--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -514,7 +514,7 @@
 			switch letter {
 			case 'Q':
 				ms := max((time.Until(k.a.Until)+time.Millisecond-1)/time.Millisecond, 1)
-				rest = fmt.Appendf(rest, "%s %d d=%d %d\n%s", k.a.PartID, k.a.Shard, ms, len(k.a.Text), k.a.Text)
+				rest = fmt.Appendf(rest, "%s %d d=%d%s %d\n%s", k.a.PartID, k.a.Shard, ms, k.a.Extra, len(k.a.Text), k.a.Text)
 			case 'X':
 				rest = append(rest, k.a.PartID...)
 			default:
--- a/internal/core/hookrule/hookrule.go
+++ b/internal/core/hookrule/hookrule.go
@@ -88,7 +88,7 @@
 	}
 	if a.Left > 0 {
 		switch {
-		case v.Point > hookabi.Send:
+		case v.Point > hookabi.Admission:
 			return nil, no("time left: too late for that")
 		case a.Left > v.Left:
 			return nil, no("time left: %d us is more than there is (%d us)", a.Left, v.Left)
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -34,6 +34,12 @@
 	Late      atomic.Int64 // answers for attempts already given up
 	Lists     atomic.Int64 // answers of discovery
 	ListFails atomic.Int64
+
+	HookAsks    atomic.Int64 // points at which hooks were asked
+	HookLate    atomic.Int64 // of these, not answered in time
+	HookShort   atomic.Int64 // points at which no time was left to ask
+	HookRefused atomic.Int64 // queries refused or failed on a hook's word, or for want of it
+	HookDrops   atomic.Int64 // parts that hooks dropped
 }
 
 var endings = [5]string{"answered", "refused", "failed", "expired", "gone"}
@@ -71,5 +77,10 @@
 	put("late", &c.Late)
 	put("lists", &c.Lists)
 	put("list_fails", &c.ListFails)
+	put("hook_asks", &c.HookAsks)
+	put("hook_late", &c.HookLate)
+	put("hook_short", &c.HookShort)
+	put("hook_refused", &c.HookRefused)
+	put("hook_drops", &c.HookDrops)
 	return strings.TrimSpace(b.String())
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"saddleport/choice"
 	"saddleport/internal/logs"
 	"saddleport/internal/settings"
+	"saddleport/sdk/hookabi"
 )
 
 var log = logs.For("exchange")
@@ -63,6 +64,8 @@
 	Whole      bool
 	Hits       []Hit
 	RetryAfter time.Duration // 0: no advice
+	Reason     string        // a hook's word on a refusal or a failure
+	Notes      []hookabi.Pair
 }
 
 // Hit is the value of one part, as a leaf server gave it.
@@ -80,12 +83,17 @@
 	Shard  int
 	Text   string
 	Until  time.Time // when the mixer stops waiting
+	Extra  string    // what the frame's list carries beside the time
 
 	sentAt time.Time
 	part   *part
 	alarm  *timer
 	ended  bool
 	giving bool // given up: the client side will end it
+
+	asking   bool // hooks are being asked; the client side does not have it
+	handed   bool // the client side has had it
+	neverRan bool // it has ended, and never ran
 }
 
 // Leaves is the client side. Its methods must not block; each attempt that is
@@ -109,15 +117,18 @@
 	attempts []*Attempt
 	out      int
 	served   bool
+	dropped  bool // a hook does not want it
 	value    string
 }
 
 type held struct {
 	*Query
 	parts    []*part
+	class    string // as hooks may have rewritten it
 	deadline time.Time
 	alarm    *timer
 	ended    bool
+	watched  *watched // nil: no hook watches it
 }
 
 type timer struct {
@@ -153,8 +164,11 @@
 
 	set    settings.Settings
 	leaves Leaves
-	start  time.Time
-	origin choice.Micros
+	hooks  Hooks // nil: there are none
+	// Tags that hooks give go to leaf servers too.
+	forwardTags bool
+	start       time.Time
+	origin      choice.Micros
 
 	mu   sync.Mutex
 	in   []func()
@@ -170,6 +184,7 @@
 	parts   map[string]*part
 	numbers int64
 	timers  timers
+	seeds   uint64 // of the hooks' random numbers
 }
 
 // New returns an exchange; Run starts it. The clock handed to the decisions
@@ -192,6 +207,7 @@
 		origin:  start.UnixMicro(),
 		wake:    make(chan struct{}, 1),
 		router:  router,
+		seeds:   seed,
 		queries: make(map[string]*held),
 		parts:   make(map[string]*part),
 	}, nil
@@ -228,7 +244,7 @@
 func (x *Exchange) Left(q *Query) {
 	x.post(func() {
 		if h := x.queries[q.ID]; h != nil && h.Query == q {
-			x.events = append(x.events, choice.ClientLeft{ID: q.ID})
+			x.withdraw(h)
 			x.end(h, Final{Ending: Gone})
 		}
 	})
@@ -337,29 +353,61 @@
 		x.final(q, Final{Ending: Refused, RetryAfter: x.advice(q.Class)})
 		return
 	}
-	x.numbers++
-	h := &held{Query: q, deadline: q.TakenAt.Add(q.Patience)}
+	h := &held{Query: q, class: q.Class, deadline: q.TakenAt.Add(q.Patience)}
 	x.queries[q.ID] = h
-	ev := choice.Query{ID: q.ID, Class: q.Class, Number: x.numbers, Key: q.Key, Tenant: q.Tenant,
+	for _, p := range q.Parts {
+		mine := &part{Part: p, id: partID(q, p), q: h}
+		h.parts = append(h.parts, mine)
+		x.parts[mine.id] = mine
+	}
+	x.guard(h)
+	if x.hooks != nil {
+		if k := x.hooks.Begin(q.Class); k != nil {
+			h.watched = &watched{Hooked: k}
+			x.begin(h)
+			return
+		}
+	}
+	x.admit(h)
+}
+
+// guard sets the last alarm of a query.
+func (x *Exchange) guard(h *held) {
+	h.alarm = x.after(h.deadline, func() { x.guards = append(x.guards, func() { x.overdue(h) }) })
+}
+
+// admit hands a query to the decisions.
+func (x *Exchange) admit(h *held) {
+	q := h.Query
+	x.numbers++
+	ev := choice.Query{ID: q.ID, Class: h.class, Number: x.numbers, Key: q.Key, Tenant: q.Tenant,
 		Grace:  max(time.Until(h.deadline).Microseconds(), 0),
 		Repeat: q.Repeat, Parts: len(q.Parts), Hinted: true}
-	for _, p := range q.Parts {
+	// Where hooks dropped so much that the rest can't be whole, the decisions are to
+	// want all of the rest; how the answer is marked is looked at again at its end.
+	scale := 1.0
+	if k := h.watched; k != nil && k.gone > 0 {
+		if need := x.class(h.class).Need; 1-k.gone < need {
+			scale = need / (1 - k.gone)
+		}
+	}
+	at := len(x.events)
+	x.events = append(x.events, ev) // with the query in front, once its parts are known
+	for _, p := range h.parts {
+		if p.dropped {
+			ev.Parts--
+			continue
+		}
 		ev.Hinted = ev.Hinted && p.Hinted
 		ev.Predicted += p.Cost
+		x.events = append(x.events, choice.Part{ID: p.id, Class: h.class, Number: ev.Number, Key: p.Key,
+			Shard: p.Shard, Weight: p.Weight * scale, Hinted: p.Hinted, Predicted: p.Cost})
 	}
 	if !ev.Hinted {
 		ev.Predicted = 0
 	}
 	// The query and all its parts go into one Step: alone it looks empty.
-	x.events = append(x.events, ev)
-	for _, p := range q.Parts {
-		mine := &part{Part: p, id: partID(q, p), q: h}
-		h.parts = append(h.parts, mine)
-		x.parts[mine.id] = mine
-		x.events = append(x.events, choice.Part{ID: mine.id, Class: q.Class, Number: ev.Number, Key: p.Key,
-			Shard: p.Shard, Weight: p.Weight, Hinted: p.Hinted, Predicted: p.Cost})
-	}
-	h.alarm = x.after(h.deadline, func() { x.guards = append(x.guards, func() { x.overdue(h) }) })
+	x.events[at] = ev
 }
 
 func partID(q *Query, p Part) string { return q.ID + "." + strconv.Itoa(p.Shard) }
@@ -373,7 +421,7 @@
 	log.Error("overdue", "id", h.ID, "class", h.Class)
 	x.Counters.Overdue.Add(1)
 	x.end(h, Final{Ending: Expired})
-	x.events = append(x.events, choice.ClientLeft{ID: h.ID})
+	x.withdraw(h)
 	x.post(func() {})
 }
 
@@ -396,7 +444,9 @@
 			x.giveUp(p.attempts[a.Attempt], choice.CalledOff)
 		}
 	case choice.Answer:
-		if h := x.queries[a.ID]; h != nil {
+		if h := x.queries[a.ID]; h != nil && h.watched != nil {
+			x.decide(h, a.Whole)
+		} else if h != nil {
 			final := Final{Ending: Answered, Whole: a.Whole}
 			for _, p := range h.parts {
 				if p.served {
@@ -450,16 +500,25 @@
 		left = min(span(s.Timeout), left)
 	}
 	a.Until = now.Add(left)
+	hooked := p.q.watched != nil && p.q.watched.Wants(hookabi.Send, p.q.class)
 	// Never out: the query has ended, its time has run out, an attempt is still
 	// out, or the part has had all its attempts.
-	if p.q.ended || left <= 0 || len(p.attempts) > x.set.Router.AttemptCap ||
+	if p.q.ended || p.dropped || left <= 0 || len(p.attempts) > x.set.Router.AttemptCap ||
 		p.out > 1 && !x.set.Router.ParallelTries {
 		x.Counters.Unsent.Add(1)
 		x.Ended(a, choice.NotSent, nil, "")
 		return
 	}
-	x.Counters.Sent.Add(1)
 	a.alarm = x.after(a.Until, func() { x.giveUp(a, choice.NoAnswer) })
+	if hooked {
+		x.askSend(a)
+		return
+	}
+	if p.q.watched != nil {
+		a.Extra = x.extra(p.q)
+	}
+	a.handed = true
+	x.Counters.Sent.Add(1)
 	x.sends = append(x.sends, a)
 }
 
@@ -476,6 +535,10 @@
 func (x *Exchange) giveUp(a *Attempt, v choice.Verdict) {
 	if !a.ended && !a.giving {
 		a.giving = true
+		if a.asking { // nobody has it yet, and nobody will
+			x.Ended(a, choice.NotSent, nil, "")
+			return
+		}
 		x.leaves.GiveUp(a, v)
 	}
 }
@@ -486,6 +549,7 @@
 	}
 	a.ended = true
 	x.drop(a.alarm)
+	a.neverRan = v == choice.TurnedAway || v == choice.NoConnection || v == choice.NotSent
 	p := a.part
 	p.out--
 	x.Counters.Outcomes[v].Add(1)
@@ -494,6 +558,9 @@
 	}
 	x.events = append(x.events, choice.Outcome{ID: p.id, Server: a.Server, Delay: time.Since(a.sentAt).Microseconds(),
 		Closed: p.served || p.q.ended, Attempt: a.Index, Verdict: v, Load: load})
+	if p.q.watched != nil && v == choice.Served && !p.q.ended {
+		x.askAnswered(p)
+	}
 	x.forget(p)
 }
 
@@ -509,7 +576,13 @@
 	for _, p := range h.parts {
 		x.forget(p)
 	}
+	if h.watched != nil {
+		f.Notes = h.watched.notes
+	}
 	x.final(h.Query, f)
+	if h.watched != nil {
+		x.endHooks(h, f)
+	}
 }
 
 func (x *Exchange) forget(p *part) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -388,6 +388,14 @@
 // answer writes a query's final answer. 429 and 503 promise that asking again
 // does no harm, so nothing but a refusal may use them.
 func (c *conn) answer(f exchange.Final, keep bool) bool {
+	var fields []httpwire.Field
+	for _, n := range f.Notes {
+		fields = append(fields, httpwire.Field{Name: "X-Note-" + n.Name, Value: n.Value})
+	}
+	because := "\n"
+	if f.Reason != "" {
+		because = ": " + f.Reason + "\n"
+	}
 	switch f.Ending {
 	case exchange.Answered:
 		body := []byte(`{"complete":`)
@@ -404,18 +412,17 @@
 			body = append(body, '}')
 		}
 		body = append(body, "]}"...)
-		return c.put(httpwire.AppendResponse(nil, 200, "application/json", body, keep))
+		return c.put(httpwire.AppendResponse(nil, 200, "application/json", body, keep, fields...))
 	case exchange.Refused:
-		var fields []httpwire.Field
 		if f.RetryAfter > 0 {
 			after := strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64)
 			fields = append(fields, httpwire.Field{Name: "Retry-After", Value: after})
 		}
-		c.write(503, "refused\n", keep, fields...)
+		c.write(503, "refused"+because, keep, fields...)
 	case exchange.Expired:
-		c.write(504, "time is up\n", keep)
+		c.write(504, "time is up\n", keep, fields...)
 	default:
-		c.write(502, "failed\n", keep)
+		c.write(502, "failed"+because, keep, fields...)
 	}
 	return keep
 }
--- /dev/null
+++ b/internal/hook/pool.go
@@ -0,0 +1,106 @@
+package hook
+
+// The pool that hooks run on. It owns the workers and the queue; whose turn it is
+// decides core/lanes. It must never have more workers than it was given but for
+// those that stand in for stuck ones, and never keep a caller waiting.
+
+import (
+	"sync"
+	"time"
+
+	"saddleport/internal/core/lanes"
+)
+
+// maxExtra bounds the workers that stand in for stuck ones.
+const maxExtra = 16
+
+type job struct {
+	until time.Time
+	run   func()
+	after func() // once run has returned
+}
+
+type pool struct {
+	mu      sync.Mutex
+	ready   sync.Cond
+	lanes   *lanes.Lanes[job]
+	workers int
+	extra   int // workers beyond, for stuck ones
+	live    int
+	closed  bool
+	ended   sync.WaitGroup
+}
+
+func newPool(workers, room int) *pool {
+	p := &pool{lanes: lanes.New[job](workers, room), workers: workers}
+	p.ready.L = &p.mu
+	return p
+}
+
+// push adds a job; false: there is no room. Workers start with the first jobs.
+func (p *pool) push(lane string, until time.Time, run, after func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || !p.lanes.Push(lane, job{until, run, after}) {
+		return false
+	}
+	if p.live < p.workers+p.extra {
+		p.live++
+		p.ended.Add(1)
+		go p.work()
+	} else {
+		p.ready.Signal()
+	}
+	return true
+}
+
+func (p *pool) work() {
+	defer p.ended.Done()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		j, lane, ok := p.lanes.Next()
+		if !ok {
+			if p.closed {
+				return
+			}
+			p.ready.Wait()
+			continue
+		}
+		p.mu.Unlock()
+		j.run()
+		j.after()
+		p.mu.Lock()
+		p.lanes.Done(lane)
+		p.ready.Signal() // another job of the lane may have waited for this one
+	}
+}
+
+// replace adds a worker for one that is stuck. The lane that the stuck one serves
+// keeps its place, so the others are what gains.
+func (p *pool) replace() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.extra < maxExtra && !p.closed {
+		p.extra++
+		p.lanes.Grow()
+		p.live++
+		p.ended.Add(1)
+		go p.work()
+	}
+}
+
+// load is how many jobs run and wait.
+func (p *pool) load() (running, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lanes.Running(), p.lanes.Waiting()
+}
+
+// close has the workers end once the queue is empty.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.ready.Broadcast()
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/internal/hook/testdata/trouble/main.go
@@ -0,0 +1,71 @@
+// Command trouble is the guest of the host's tests: the query's text says what it
+// does wrong.
+package main
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"saddleport/sdk/guest"
+)
+
+func main() {}
+
+var kept [][]byte
+
+func init() {
+	for p := guest.Taken; p <= guest.Ended; p++ {
+		guest.Handle(p, do)
+	}
+}
+
+func do(q *guest.Query) *guest.Answer {
+	word, arg, _ := strings.Cut(q.Text, " ")
+	switch word {
+	case "loop":
+		for n := 0; ; n++ {
+			if n < 0 {
+				return nil
+			}
+		}
+	case "throw":
+		panic("on purpose")
+	case "bomb":
+		for {
+			kept = append(kept, make([]byte, 1<<20))
+			kept[len(kept)-1][0] = 1
+		}
+	case "recurse":
+		return &guest.Answer{Left: int64(recurse(1))}
+	case "exit":
+		os.Exit(3)
+	case "sleep":
+		time.Sleep(time.Hour)
+	case "clock":
+		return &guest.Answer{Notes: []guest.Pair{{Name: "now", Value: time.Now().UTC().Format(time.RFC3339)}}}
+	case "file":
+		_, err := os.ReadFile("/etc/hostname")
+		if err == nil {
+			return &guest.Answer{Notes: []guest.Pair{{Name: "read", Value: "yes"}}}
+		}
+	case "claim":
+		return &guest.Answer{Claims: []string{arg}}
+	case "raise":
+		return &guest.Answer{Left: q.Left + 1}
+	case "tag":
+		return &guest.Answer{Tags: []guest.Pair{{Name: "gov", Value: arg}}}
+	case "refuse":
+		return guest.Refuse(arg, 1500)
+	case "long":
+		return &guest.Answer{Tags: []guest.Pair{{Name: "x", Value: strings.Repeat("x", 1000)}}}
+	}
+	return nil
+}
+
+func recurse(n int) int {
+	if n == 0 {
+		return 0
+	}
+	return recurse(n+1) + 1
+}
