Wire hooks into the program: operator file, control socket, commands, exchanges

The host is beside the exchange only with an operator file; its hooks run on processors of their own, since on one a looping script would hold up all until the scheduler takes it away. Reload on SIGHUP and by command; a bad set changes nothing.

--- a/internal/app/admin.go
+++ b/internal/app/admin.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"time"
 
+	"saddleport/choice"
 	"saddleport/internal/httpwire"
 )
 
@@ -64,6 +65,7 @@
 	if config == "" && operator == "" {
 		return errors.New("nothing to check: give --config, BALANCER_CONFIG or --operator")
 	}
+	var classes []choice.Class
 	if config != "" {
 		cfg, err := Load(config, os.Getenv)
 		if err == nil {
@@ -72,13 +74,24 @@
 		if err != nil {
 			return err
 		}
+		classes = cfg.settings.Router.Classes
 		fmt.Fprintln(w, cfg.Summary())
 	}
-	if operator != "" {
-		if _, err := LoadOperator(operator); err != nil {
+	if operator == "" {
+		return nil
+	}
+	o, err := LoadOperator(operator)
+	if err != nil {
+		return err
+	}
+	hooks := 0
+	if o.Hooks.Dir != "" {
+		set, err := o.Loader(classes).Load(o.Hooks.Dir)
+		if err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "operator=%s ok\n", operator)
+		hooks = len(set.Hooks)
 	}
-	return nil
+	_, err = fmt.Fprintf(w, "operator=%s hooks=%d\n", operator, hooks)
+	return err
 }
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -1,26 +1,42 @@
 package app
 
-// This file names the sections of the operator file. A subsystem adds its own by
-// one line in sections and one in apply.
+// This file names the sections of the operator file, and does what it says. A
+// subsystem adds its own by a line in Operator, one in sections and one in apply.
 
 import (
+	"fmt"
+	"math"
+	"path/filepath"
+	"runtime"
+	"strings"
+
+	"saddleport/choice"
+	"saddleport/internal/control"
+	"saddleport/internal/hook"
+	"saddleport/internal/hook/starlark"
+	"saddleport/internal/hook/wasm"
 	"saddleport/internal/logs"
 	"saddleport/internal/operator"
 )
 
 // Operator is what the operator file says.
 type Operator struct {
-	File *operator.File
-	Log  logs.Settings
+	File    *operator.File
+	Log     logs.Settings
+	Hooks   hook.Settings
+	Control control.Settings
 }
 
 func (o *Operator) sections() []operator.Section {
 	return []operator.Section{
-		{Name: "log", Help: "what is logged; SIGHUP changes it", Into: &o.Log},
+		{Name: "log", Help: "what is logged", Into: &o.Log},
+		{Name: "control", Help: "where operators speak to the mixer", Into: &o.Control},
+		{Name: "hooks", Help: "hooks of one's own", Into: &o.Hooks, Check: o.Hooks.Check},
 	}
 }
 
 // LoadOperator reads the operator file; an empty path means that there is none.
+// Paths in it that are not absolute count from its folder.
 func LoadOperator(path string) (*Operator, error) {
 	o := &Operator{}
 	f, err := operator.Load(path, o.sections())
@@ -28,5 +44,66 @@
 		return nil, err
 	}
 	o.File = f
+	for _, p := range []*string{&o.Hooks.Dir, &o.Control.Socket} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(filepath.Dir(path), *p)
+		}
+	}
 	return o, nil
 }
+
+// Engines are the hooks' engines by the manifest's words.
+func Engines() map[string]hook.Engine {
+	return map[string]hook.Engine{"starlark": starlark.Engine{}, "wasm": &wasm.Engine{}, "wasm-fresh": &wasm.Engine{Fresh: true}}
+}
+
+// Loader loads sets as a mixer with these settings would; without classes, any
+// class may be named.
+func (o *Operator) Loader(classes []choice.Class) *hook.Loader {
+	return &hook.Loader{Engines: Engines(), Classes: classes, Workers: o.Hooks.Workers, Memory: o.Hooks.Memory}
+}
+
+// apply turns to what the operator file says now. Without a file nothing is
+// touched. A set is loaded while the mixer serves on.
+func (m *mixer) apply(op *Operator) {
+	m.mu.Lock()
+	m.op = op
+	m.mu.Unlock()
+	if op.File.Path == "" {
+		return
+	}
+	logs.Apply(op.Log)
+	m.host.Apply(op.Hooks)
+	m.procs()
+}
+
+// procs gives hooks processors of their own: with one, a hook that loops would
+// hold up all until the scheduler takes it away, 10 ms later.
+func (m *mixer) procs() {
+	n := max(1, int(math.Ceil(m.cfg.cores)))
+	if m.op.Hooks.Dir != "" {
+		n += m.op.Hooks.Workers
+	}
+	runtime.GOMAXPROCS(n)
+}
+
+// command does what an operator asks on the control socket.
+func (m *mixer) command(words []string) (any, error) {
+	switch line := strings.Join(words, " "); {
+	case line == "hooks list":
+		return m.host.Report(), nil
+	case line == "hooks reload":
+		if err := m.host.Reload(m.dir()); err != nil {
+			return nil, err
+		}
+		return m.host.Report(), nil
+	case len(words) == 3 && words[0] == "hooks" && (words[1] == "enable" || words[1] == "disable"):
+		if err := m.host.Enable(words[2], words[1] == "enable"); err != nil {
+			return nil, err
+		}
+		return m.host.Report(), nil
+	case line == "counters":
+		return m.x.Counters.String(), nil
+	}
+	return nil, fmt.Errorf("%.100q: there is no such word", strings.Join(words, " "))
+}
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
@@ -21,7 +22,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"saddleport/internal/control"
 	"saddleport/internal/front"
+	"saddleport/internal/hook"
 )
 
 const patience = 20 * time.Second // for anything a script expects: no verdict hangs on a pace
@@ -38,6 +41,7 @@
 	config  string // the file
 	pace    front.Pace
 	stay    time.Duration
+	set     string // the folder of its hooks; empty: none
 	peers   map[string]*peer
 	signals chan os.Signal
 	ended   chan error
@@ -106,6 +110,10 @@
 		s.write(at, string(text), strings.Join(words[1:], " "))
 		return
 	}
+	if who == "hooks" {
+		s.hooks(at, what, rest)
+		return
+	}
 	if who == "ended" {
 		require.NoError(s.t, <-s.ended, at)
 		return
@@ -219,12 +227,49 @@
 	cfg, err := Load(s.config, func(string) string { return "" })
 	require.NoError(s.t, err, at)
 	cfg.pace, cfg.stay = s.pace, s.stay
+	if s.set != "" {
+		cfg.operator = s.operator()
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err, at)
 	s.listen, s.signals, s.ended = ln.Addr().String(), make(chan os.Signal), make(chan error, 1)
 	go func() { s.ended <- serve(cfg, ln, s.signals) }()
 }
 
+func (s *stage) operator() string { return filepath.Join(filepath.Dir(s.set), "operator.ini") }
+
+// hooks gives the mixer a copy of a set of testdata/sets before it starts, edits
+// that copy, or speaks to the mixer on its control socket.
+func (s *stage) hooks(at, what, rest string) {
+	socket := filepath.Join(filepath.Dir(s.set), "s")
+	var r hook.Report
+	switch what {
+	case "edit":
+		file, change, _ := strings.Cut(rest, " ")
+		old, now, _ := strings.Cut(change, "=>")
+		text, err := os.ReadFile(filepath.Join(s.set, file))
+		require.NoError(s.t, err, at)
+		require.Contains(s.t, string(text), old, at)
+		require.NoError(s.t, os.WriteFile(filepath.Join(s.set, file), bytes.ReplaceAll(text, []byte(old), []byte(now)), 0o600), at)
+	case "rejected":
+		require.ErrorContains(s.t, control.Ask(socket, &r, "hooks", "reload"), rest, at)
+	case "version":
+		for r.Version = -1; fmt.Sprint(r.Version) != rest; {
+			require.NoError(s.t, control.Ask(socket, &r, "hooks", "list"), at)
+		}
+	case "reload", "enable", "disable":
+		require.NoError(s.t, control.Ask(socket, &r, append([]string{"hooks", what}, strings.Fields(rest)...)...), at)
+	default:
+		// A socket's path has little room, and a test's folder has a long name.
+		dir, err := os.MkdirTemp("", "sp")
+		require.NoError(s.t, err, at)
+		s.t.Cleanup(func() { os.RemoveAll(dir) })
+		s.set = filepath.Join(dir, "set")
+		require.NoError(s.t, os.CopyFS(s.set, os.DirFS(filepath.Join("testdata/sets", what))), at)
+		require.NoError(s.t, os.WriteFile(s.operator(), []byte("[control]\nsocket = s\n[hooks]\ndir = set\nmost-wait = 1s\nforward-tags = yes\n"), 0o600), at)
+	}
+}
+
 // write puts a configuration in place, with the changes and the peers' addresses.
 func (s *stage) write(at, text, changes string) {
 	for change := range strings.FieldsSeq(changes) {
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -15,12 +15,15 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"saddleport/internal/back"
+	"saddleport/internal/control"
 	"saddleport/internal/exchange"
 	"saddleport/internal/front"
+	"saddleport/internal/hook"
 	"saddleport/internal/logs"
 )
 
@@ -61,9 +64,19 @@
 // mixer is one that runs.
 type mixer struct {
 	cfg  *Config
-	op   *Operator
 	x    *exchange.Exchange
 	back *back.Back
+	host *hook.Host // nil without an operator file
+
+	mu sync.Mutex // commands come beside signals
+	op *Operator
+}
+
+// dir is the folder of the hooks.
+func (m *mixer) dir() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.op.Hooks.Dir
 }
 
 // reload rereads the files and takes over what may change in service: the address
@@ -98,13 +111,8 @@
 		b.Switch(c.discovery)
 	}
 	m.apply(op)
-}
-
-// apply turns to what the operator file says now.
-func (m *mixer) apply(op *Operator) {
-	m.op = op
-	if op.File.Path != "" {
-		logs.Apply(op.Log)
+	if m.host != nil { // a set takes a while to load; a bad one leaves the old one, and is logged
+		go m.host.Reload(m.dir())
 	}
 }
 
@@ -135,7 +143,23 @@
 	leaves := (cfg.sockets - spareFiles) / leafShare
 	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, Discovery: cfg.discovery, MaxConns: leaves})
 	m := &mixer{cfg: cfg, x: x, back: b}
+	if op.File.Path != "" {
+		m.host = hook.NewHost(op.Hooks, Engines(), cfg.settings.Router.Classes)
+		x.SetHooks(m.host, op.Hooks.ForwardTags)
+		if op.Hooks.Dir != "" {
+			if err := m.host.Reload(op.Hooks.Dir); err != nil {
+				return err
+			}
+		}
+	}
 	m.apply(op)
+	if op.Control.Socket != "" {
+		c, err := control.Listen(op.Control.Socket, m.command)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+	}
 	classes := make(map[string]bool)
 	for _, c := range cfg.settings.Router.Classes {
 		classes[c.Name] = true
@@ -202,6 +226,9 @@
 		sleep(pollTime)
 	}
 	close(stop)
+	if m.host != nil {
+		m.host.Close()
+	}
 	log.Info("stopped", "", logs.Pairs(x.Counters.String()))
 	return nil
 }
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,160 @@
+// Package control lets an operator speak to a running mixer on its own machine:
+// a Unix socket, one line asked, one JSON document answered. It owns the socket
+// and the bounds of what is asked. It must never be reachable by a client of the
+// mixer, keep a caller waiting without end, or do anything itself: what a word
+// means is its caller's.
+package control
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"saddleport/internal/logs"
+)
+
+// Settings are the operator file's section [control].
+type Settings struct {
+	Socket string `ini:"socket" help:"the path of the Unix socket; none: nobody can speak to the mixer (counts from the next start)"`
+}
+
+const (
+	maxLine  = 4 << 10
+	maxReply = 16 << 20
+	maxConns = 8
+	askTime  = 2 * time.Second  // for the line to come
+	doTime   = 60 * time.Second // for what it asks, and for its answer to be taken
+)
+
+var log = logs.For("control")
+
+// Handler does what a line asks. What it returns is answered as JSON.
+type Handler func(words []string) (any, error)
+
+// Server answers on a socket.
+type Server struct {
+	ln     net.Listener
+	handle Handler
+	room   chan struct{}
+	ended  sync.WaitGroup
+}
+
+// Listen opens the socket; only this user may use it. A socket that a process
+// left behind is taken over, one that is answered is not.
+func Listen(path string, handle Handler) (*Server, error) {
+	if nc, err := net.DialTimeout("unix", path, askTime); err == nil {
+		nc.Close()
+		return nil, fmt.Errorf("%s: another process answers there", path)
+	}
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode()&os.ModeSocket == 0 {
+			return nil, fmt.Errorf("%s: is there and no socket", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return nil, err
+		}
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		ln.Close()
+		return nil, err
+	}
+	s := &Server{ln: ln, handle: handle, room: make(chan struct{}, maxConns)}
+	s.ended.Add(1)
+	go s.serve()
+	return s, nil
+}
+
+func (s *Server) serve() {
+	defer s.ended.Done()
+	for {
+		s.room <- struct{}{}
+		nc, err := s.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			<-s.room
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s.ended.Add(1)
+		go func() {
+			defer s.ended.Done()
+			defer func() { nc.Close(); <-s.room }()
+			s.one(nc)
+		}()
+	}
+}
+
+type reply struct {
+	Error string          `json:"error,omitempty"`
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+func (s *Server) one(nc net.Conn) {
+	nc.SetReadDeadline(time.Now().Add(askTime))
+	line, err := bufio.NewReader(io.LimitReader(nc, maxLine)).ReadString('\n')
+	if err != nil {
+		return
+	}
+	var r reply
+	v, err := s.handle(strings.Fields(line))
+	if err == nil {
+		r.Value, err = json.Marshal(v)
+	}
+	if err != nil {
+		r.Error = err.Error()
+	}
+	text, err := json.Marshal(r)
+	if err != nil {
+		return
+	}
+	log.Info("control", "asked", strings.TrimSpace(line), "err", r.Error)
+	nc.SetWriteDeadline(time.Now().Add(doTime))
+	nc.Write(append(text, '\n'))
+}
+
+// Close ends the socket. What is being answered is finished.
+func (s *Server) Close() {
+	s.ln.Close()
+	s.ended.Wait()
+}
+
+// Ask speaks to the mixer behind a socket and fills into with its answer.
+func Ask(path string, into any, words ...string) error {
+	if path == "" {
+		return errors.New("the operator file names no socket: set [control] socket")
+	}
+	nc, err := net.DialTimeout("unix", path, askTime)
+	if err != nil {
+		return fmt.Errorf("no mixer answers: %w", err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(doTime))
+	if _, err := fmt.Fprintln(nc, strings.Join(words, " ")); err != nil {
+		return err
+	}
+	text, err := io.ReadAll(io.LimitReader(nc, maxReply))
+	if err != nil {
+		return err
+	}
+	var r reply
+	if err := json.Unmarshal(text, &r); err != nil {
+		return fmt.Errorf("the mixer's answer can't be read: %w", err)
+	}
+	if r.Error != "" {
+		return errors.New(r.Error)
+	}
+	return json.Unmarshal(r.Value, into)
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestControl(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	path := filepath.Join(t.TempDir(), "s")
+	s, err := Listen(path, func(words []string) (any, error) {
+		if words[0] == "bad" {
+			return nil, errors.New("no such word")
+		}
+		return words, nil
+	})
+	require.NoError(t, err)
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o600), info.Mode().Perm())
+	var got []string
+	require.NoError(t, Ask(path, &got, "hooks", "list"))
+	require.Equal(t, []string{"hooks", "list"}, got)
+	require.EqualError(t, Ask(path, &got, "bad"), "no such word")
+	_, err = Listen(path, nil)
+	require.ErrorContains(t, err, "another process answers there")
+	s.Close()
+	require.ErrorContains(t, Ask(path, &got, "x"), "no mixer answers")
+
+	// What a process that died left behind is taken over; a file is not.
+	ln, err := net.Listen("unix", path)
+	require.NoError(t, err)
+	ln.(*net.UnixListener).SetUnlinkOnClose(false)
+	ln.Close()
+	s, err = Listen(path, func([]string) (any, error) { return 1, nil })
+	require.NoError(t, err)
+	s.Close()
+	require.NoError(t, os.WriteFile(path, nil, 0o600))
+	_, err = Listen(path, nil)
+	require.ErrorContains(t, err, "no socket")
+	require.ErrorContains(t, Ask("", nil), "names no socket")
+}
--- a/internal/hook/set.go
+++ b/internal/hook/set.go
@@ -59,15 +59,7 @@
 
 // Load reads, compiles and self-tests the set in a folder.
 func (l *Loader) Load(dir string) (*Set, error) {
-	var names []string
-	for _, c := range l.Classes {
-		names = append(names, c.Name)
-	}
-	m, err := ReadManifest(dir, names)
-	if err != nil {
-		return nil, err
-	}
-	s, err := l.load(m)
+	s, err := l.compile(dir)
 	if err != nil {
 		return nil, err
 	}
@@ -83,6 +75,18 @@
 	return s, nil
 }
 
+func (l *Loader) compile(dir string) (*Set, error) {
+	var names []string
+	for _, c := range l.Classes {
+		names = append(names, c.Name)
+	}
+	m, err := ReadManifest(dir, names)
+	if err != nil {
+		return nil, err
+	}
+	return l.load(m)
+}
+
 func (l *Loader) load(m *Manifest) (*Set, error) {
 	s := &Set{Manifest: m, freed: make(chan struct{})}
 	total := inifile.Bytes(0)
@@ -275,3 +279,15 @@
 
 // Freed is closed once the set is freed.
 func (s *Set) Freed() <-chan struct{} { return s.freed }
+
+// TestAll loads the set in a folder and runs all its self-tests; the second result
+// says how many failed, the third that the set does not load.
+func (l *Loader) TestAll(dir string) (results []TestResult, failed, err error) {
+	s, err := l.compile(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer s.retire()
+	results, failed = s.Test(l)
+	return results, failed, nil
+}
--- a/sdk/examples/governorate/main.go
+++ b/sdk/examples/governorate/main.go
@@ -1,5 +1,5 @@
-// Command governorate tags each query with the governorate that its key names
-// ("amman:2027-02-01"), and notes it on the answer.
+// Command governorate tags each query with the governorate that its text names
+// ("gov=amman;..."), and notes it on the answer.
 package main
 
 import (
@@ -12,9 +12,9 @@
 
 func init() {
 	guest.Handle(guest.Taken, func(q *guest.Query) *guest.Answer {
-		name, _, ok := strings.Cut(q.Key, ":")
-		if !ok || name == "" {
-			name = "unknown"
+		name := "unknown"
+		if _, rest, ok := strings.Cut(q.Text, "gov="); ok {
+			name, _, _ = strings.Cut(rest, ";")
 		}
 		pair := []guest.Pair{{Name: "governorate", Value: name}}
 		return &guest.Answer{Tags: pair, Notes: pair}
