--- a/internal/app/testdata/sets/play/first.star
+++ b/internal/app/testdata/sets/play/first.star
@@ -17,7 +17,7 @@
 
 def on_admission(q):
     if q.text == "drop":
-        return {"drop": [2]}
+        return {"drop": [3]}
     if q.text == "drop-all":
         return {"drop": [p.shard for p in q.parts]}
 
