--- /dev/null
+++ b/drills/sets/broken/loops.star
@@ -0,0 +1,3 @@
+def on_taken(q):
+    while True:
+        pass
--- /dev/null
+++ b/drills/sets/pool/quick.star
@@ -0,0 +1,2 @@
+def on_taken(q):
+    return {"tags": {"governorate": "irbid"}}
--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -9,12 +9,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -25,12 +22,12 @@
 
 	"saddleport/choice"
 	"saddleport/internal/exchange"
+	"saddleport/internal/frame"
 	"saddleport/internal/logs"
 	"saddleport/internal/settings"
 )
 
 const (
-	maxFrame     = 128 << 10
 	writeTime    = time.Second            // a write that takes longer ends its connection
 	probeTime    = time.Second            // a probe that takes longer has failed
 	connsEach    = 4                      // connections to one server that take calls
@@ -514,7 +511,8 @@
 			switch letter {
 			case 'Q':
 				ms := max((time.Until(k.a.Until)+time.Millisecond-1)/time.Millisecond, 1)
-				rest = fmt.Appendf(rest, "%s %d d=%d%s %d\n%s", k.a.PartID, k.a.Shard, ms, k.a.Extra, len(k.a.Text), k.a.Text)
+				rest = frame.AppendPart(rest, frame.Part{ID: k.a.PartID, Shard: k.a.Shard,
+					List: "d=" + strconv.FormatInt(int64(ms), 10) + k.a.Extra, Text: k.a.Text})
 			case 'X':
 				rest = append(rest, k.a.PartID...)
 			default:
@@ -524,7 +522,7 @@
 		c.usedAt = time.Now()
 		b.mu.Unlock()
 		c.nc.SetWriteDeadline(time.Now().Add(writeTime))
-		_, err := c.nc.Write(appendFrame(nil, letter, rest))
+		_, err := c.nc.Write(frame.Append(nil, letter, rest))
 		b.mu.Lock()
 		for _, k := range calls {
 			c.written(letter, k, err)
@@ -580,11 +578,6 @@
 	}
 }
 
-func appendFrame(b []byte, letter byte, rest []byte) []byte {
-	b = binary.BigEndian.AppendUint32(b, uint32(1+len(rest)))
-	return append(append(b, letter), rest...)
-}
-
 func (c *conn) read() {
 	r := bufio.NewReader(c.nc)
 	for {
@@ -608,19 +601,15 @@
 
 // frame reads one frame and does what it says.
 func (c *conn) frame(r *bufio.Reader) error {
-	var size [4]byte
-	if _, err := io.ReadFull(r, size[:]); err != nil {
-		return err
+	letter, rest, err := frame.Read(r)
+	var malformed *frame.Error
+	if errors.As(err, &malformed) {
+		return spoilt("%s", malformed.What)
 	}
-	n := binary.BigEndian.Uint32(size[:])
-	if n < 1 || n > maxFrame {
-		return spoilt("length %d", n)
-	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	if err != nil {
 		return err
 	}
-	switch letter, rest := body[0], body[1:]; letter {
+	switch letter {
 	case 'A':
 		return c.answer(rest)
 	case 'P', 'L':
@@ -635,35 +624,31 @@
 var ends = map[string]choice.Verdict{"ok": choice.Served, "err": choice.ServerError, "busy": choice.TurnedAway}
 
 func (c *conn) answer(rest []byte) error {
-	line, value, ok := bytes.Cut(rest, []byte("\n"))
-	fields := strings.Split(string(line), " ")
-	if !ok || len(fields) != 4 {
-		return spoilt("not a line of four fields")
-	}
-	v, known := ends[fields[1]]
-	if _, err := strconv.ParseUint(fields[2], 10, 64); !known || err != nil {
-		return spoilt("end %.20q, score %.20q", fields[1], fields[2])
+	a, err := frame.ParseAnswer(rest)
+	if err != nil {
+		return spoilt("%v", err)
 	}
-	if v == choice.Served && (len(value) == 0 || !utf8.Valid(value)) {
-		return spoilt("a value of %d bytes that is no text", len(value))
+	v := ends[a.End]
+	if v == choice.Served && (len(a.Value) == 0 || !utf8.Valid(a.Value)) {
+		return spoilt("a value of %d bytes that is no text", len(a.Value))
 	}
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
 	c.heard()
-	k := c.calls[fields[0]]
+	k := c.calls[a.ID]
 	if k == nil || k.state != writing && k.state != out {
 		// An answer to a part given up here was on its way, or comes twice. Any other
 		// was for a part that is out and would wait for it in vain.
-		if _, ended := c.stale[fields[0]]; !ended {
-			return spoilt("id %.80q of no part", fields[0])
+		if _, ended := c.stale[a.ID]; !ended {
+			return spoilt("id %.80q of no part", a.ID)
 		}
 		c.b.Exchange.Counters.Late.Add(1)
 		return nil
 	}
 	if v != choice.TurnedAway { // that may be asked again here
-		c.stale[fields[0]] = time.Now().Add(copyFor)
+		c.stale[a.ID] = time.Now().Add(copyFor)
 	}
-	c.b.finish(k, v, report(fields[3]), string(value))
+	c.b.finish(k, v, report(a.Report), string(a.Value))
 	return nil
 }
 
--- a/internal/hook/set.go
+++ b/internal/hook/set.go
@@ -89,9 +89,16 @@
 
 func (l *Loader) load(m *Manifest) (*Set, error) {
 	s := &Set{Manifest: m, freed: make(chan struct{})}
-	total := inifile.Bytes(0)
+	modules, scripts, calls := inifile.Bytes(0), inifile.Bytes(0), inifile.Bytes(max(l.Workers, 1))
 	for _, spec := range m.Hooks {
-		if total += spec.Memory * inifile.Bytes(max(l.Workers, 1)); l.Memory > 0 && total > l.Memory {
+		// A module's instances keep their memory; a script's is a call's, and no more
+		// calls run at once than there are workers.
+		if spec.Engine == "wasm" {
+			modules += spec.Memory * calls
+		} else {
+			scripts = max(scripts, spec.Memory*calls)
+		}
+		if total := modules + scripts; l.Memory > 0 && total > l.Memory {
 			s.retire()
 			return nil, m.lines["hook "+spec.Name].Fault("memory", "the set could need %v with %d calls at once, and may have %v",
 				total, l.Workers, l.Memory)
--- /dev/null
+++ b/internal/lab/desk/desk.go
@@ -0,0 +1,254 @@
+// Package desk is the scripted booking desks of a drill: open-loop clients that
+// speak the platform's HTTP to a mixer. It owns their connections and arrivals.
+// It must never send a query later because an answer is late, nor wait longer for
+// one than its patience says: a slow mixer must not slow its own load.
+package desk
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"saddleport/internal/lab/judge"
+)
+
+// Class is one class of query and its load.
+type Class struct {
+	Name     string
+	Rate     float64 // queries a second, Poisson
+	Parts    int     // of each query
+	Patience time.Duration
+	Text     string
+}
+
+// Config is what the desks are told.
+type Config struct {
+	Addr   func() string // of the mixer
+	Shards int
+	Seed   uint64
+	Judge  *judge.Judge
+	Conns  int           // at once, at most
+	Again  time.Duration // wait for an answer beyond the patience
+}
+
+// Desks are all desks of a drill.
+type Desks struct {
+	Config
+	mu    sync.Mutex
+	idle  []*conn
+	conns int
+	out   sync.WaitGroup
+}
+
+type conn struct {
+	nc  net.Conn
+	r   *bufio.Reader
+	old bool // has carried a query
+	end bool // the mixer said that it ends
+}
+
+// New returns desks without load.
+func New(c Config) *Desks {
+	if c.Again <= 0 {
+		c.Again = 2 * time.Second
+	}
+	return &Desks{Config: c}
+}
+
+// Run sends a class's load until ctx is done, and returns once all is answered.
+// begin is the time from which the queries are due; the same seed gives the same
+// queries at the same times.
+func (d *Desks) Run(ctx context.Context, class Class, begin time.Time) {
+	r := rand.New(rand.NewPCG(d.Seed, hash(class.Name)))
+	due := begin
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(r.ExpFloat64() / class.Rate * float64(time.Second)))
+		q := d.query(class, n, due, r)
+		select {
+		case <-ctx.Done():
+			d.out.Wait()
+			return
+		case <-time.After(time.Until(due)):
+		}
+		d.out.Add(1)
+		d.Judge.Sent(q)
+		go func() {
+			defer d.out.Done()
+			d.send(class, q)
+			d.Judge.Ended(q)
+		}()
+	}
+}
+
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+func (d *Desks) query(class Class, n int, due time.Time, r *rand.Rand) *judge.Query {
+	q := &judge.Query{ID: fmt.Sprintf("%016x", hash(class.Name)^r.Uint64()), Class: class.Name, Due: due, Patience: class.Patience}
+	for _, shard := range r.Perm(d.Shards)[:min(class.Parts, d.Shards)] {
+		q.Parts = append(q.Parts, judge.Part{Shard: shard, Weight: 1 / float64(min(class.Parts, d.Shards))})
+	}
+	return q
+}
+
+// send sends a query and takes its answer. A connection that broke before a byte
+// of the answer came, and that had carried others, may have crossed its end: the
+// platform's clients send once more.
+func (d *Desks) send(class Class, q *judge.Query) {
+	q.Sent = time.Now()
+	for try := 0; ; try++ {
+		c, err := d.conn(try > 0)
+		if err == nil {
+			var crossed bool
+			if crossed, err = d.ask(c, class, q); crossed && try == 0 {
+				d.drop(c)
+				continue
+			}
+			if err != nil {
+				d.drop(c)
+			} else {
+				d.keep(c)
+			}
+		}
+		if err != nil {
+			q.Ended, q.Outcome, q.Detail = time.Now(), judge.Lost, err.Error()
+		}
+		return
+	}
+}
+
+func (d *Desks) conn(fresh bool) (*conn, error) {
+	d.mu.Lock()
+	for !fresh && len(d.idle) > 0 {
+		c := d.idle[len(d.idle)-1]
+		d.idle = d.idle[:len(d.idle)-1]
+		d.mu.Unlock()
+		return c, nil
+	}
+	d.conns++
+	d.mu.Unlock()
+	nc, err := net.DialTimeout("tcp", d.Addr(), 2*time.Second)
+	if err != nil {
+		d.mu.Lock()
+		d.conns--
+		d.mu.Unlock()
+		return nil, err
+	}
+	return &conn{nc: nc, r: bufio.NewReader(nc)}, nil
+}
+
+func (d *Desks) keep(c *conn) {
+	d.mu.Lock()
+	if len(d.idle) < d.Conns && !c.end {
+		d.idle = append(d.idle, c)
+		d.mu.Unlock()
+		return
+	}
+	d.mu.Unlock()
+	d.drop(c)
+}
+
+func (d *Desks) drop(c *conn) {
+	c.nc.Close()
+	d.mu.Lock()
+	d.conns--
+	d.mu.Unlock()
+}
+
+// Close ends idle connections. What came on them unasked is told as a second
+// answer to nobody: the count.
+func (d *Desks) Close() (unasked int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.idle {
+		if stray(c) {
+			unasked++
+		}
+		c.nc.Close()
+	}
+	d.idle = nil
+	return unasked
+}
+
+// stray tells whether something came on a connection that nobody asked for.
+func stray(c *conn) bool {
+	if c.r.Buffered() > 0 {
+		return true
+	}
+	c.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.r.Peek(1)
+	return err == nil
+}
+
+func (d *Desks) ask(c *conn, class Class, q *judge.Query) (crossed bool, err error) {
+	body := []byte(`{"shards":[`)
+	for i, p := range q.Parts {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = fmt.Appendf(body, `{"shard":%d,"weight":%.9f}`, p.Shard, p.Weight)
+	}
+	body = fmt.Appendf(body, `],"q":%q}`, class.Text)
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In: %dm\r\nContent-Length: %d\r\n\r\n",
+		q.ID, class.Name, q.Patience.Milliseconds(), len(body))
+	b.Write(body)
+	old := c.old
+	c.old = true
+	if c.r.Buffered() > 0 {
+		q.Extra = true
+	}
+	q.Sent = time.Now()
+	c.nc.SetDeadline(q.Sent.Add(q.Patience + d.Again))
+	if _, err := c.nc.Write(b.Bytes()); err != nil {
+		return old, err
+	}
+	if _, err := c.r.Peek(1); err != nil {
+		var timeout net.Error
+		return old && !(errors.As(err, &timeout) && timeout.Timeout()), err
+	}
+	p, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return false, err
+	}
+	text, err := io.ReadAll(io.LimitReader(p.Body, 1<<20))
+	p.Body.Close()
+	if err != nil {
+		return false, err
+	}
+	q.Ended = time.Now()
+	if c.r.Buffered() > 0 {
+		q.Extra = true
+	}
+	switch p.StatusCode {
+	case 200:
+		q.Outcome = judge.Answered
+		doc := gjson.ParseBytes(text)
+		q.Whole = doc.Get("complete").Bool()
+		for _, h := range doc.Get("hits").Array() {
+			q.Hits = append(q.Hits, judge.Hit{Shard: int(h.Get("shard").Int()), Value: h.Get("doc").String()})
+		}
+	case 429, 503:
+		q.Outcome = judge.Refused
+	default:
+		q.Outcome = judge.Failed
+	}
+	q.Detail = string(bytes.TrimSpace(text[:min(len(text), 80)]))
+	c.end = p.Close
+	return false, nil
+}
--- /dev/null
+++ b/internal/lab/drill/run.go
@@ -0,0 +1,507 @@
+package drill
+
+// This file plays a drill once: it starts the stand-ins and the program, lets the
+// steps happen, and gathers what was seen.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"saddleport/internal/control"
+	"saddleport/internal/hook"
+	"saddleport/internal/inifile"
+	"saddleport/internal/lab/desk"
+	"saddleport/internal/lab/disco"
+	"saddleport/internal/lab/judge"
+	"saddleport/internal/lab/leaf"
+)
+
+const (
+	readyTime = 60 * time.Second
+	endTime   = 30 * time.Second
+	stopLoad  = 300 * time.Millisecond // the load goes on so long after SIGTERM
+	grace     = 2*time.Second + judge.Slack
+)
+
+// Options are how a drill is played.
+type Options struct {
+	Program  string                     // the mixer
+	Out      string                     // a folder for logs; empty: a temporary one
+	Progress func(run string, s Sample) // called each second
+	Notice   func(run, format string, a ...any)
+}
+
+// Sample is the state of a run at one second.
+type Sample struct {
+	At, Of    time.Duration
+	Open      int
+	RSS       inifile.Bytes
+	Files     int
+	Hooks     []hook.Status
+	LastSteps string
+}
+
+// Run is what one run of a drill brought.
+type Run struct {
+	Name     string
+	Verdict  *judge.Verdict
+	Rate     float64 // queries a second
+	RSSMost  inifile.Bytes
+	FilesTop int
+	CPU      time.Duration // of the mixer
+	Report   hook.Report   // of its hooks, at the end
+	Faults   map[hook.Kind]int64
+	Calls    int64
+	Opened   int
+	Unasked  int
+	Broken   []string // what else went wrong
+	Log      string
+}
+
+type run struct {
+	d      *Drill
+	opt    Options
+	name   string
+	hooks  bool
+	dir    string
+	j      *judge.Judge
+	disco  *disco.Server
+	leaves map[string]*leaf.Server
+	addrs  map[string]string
+	cmd    *exec.Cmd
+	listen string
+	exited chan error
+
+	mu       sync.Mutex
+	broken   []string
+	faults   map[hook.Kind]int64
+	opened   map[string]int // by hook and set version: a set that goes takes its counts along
+	calls    map[string]int64
+	perSet   map[string]map[hook.Kind]int64
+	last     string
+	report   hook.Report
+	stopping bool
+	rss      inifile.Bytes
+	files    int
+}
+
+// Play plays a drill once, with its hooks or without.
+func Play(ctx context.Context, d *Drill, opt Options, hooks bool) (*Run, error) {
+	name := "with hooks"
+	if !hooks {
+		name = "without hooks"
+	}
+	dir := opt.Out
+	if dir == "" {
+		tmp, err := os.MkdirTemp("", "lab")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(tmp)
+		dir = tmp
+	}
+	work, err := os.MkdirTemp("", "lab") // a socket's path has little room
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(work)
+	r := &run{d: d, opt: opt, name: name, hooks: hooks, dir: work, leaves: make(map[string]*leaf.Server), addrs: make(map[string]string),
+		exited: make(chan error, 1), faults: make(map[hook.Kind]int64), opened: make(map[string]int), calls: make(map[string]int64),
+		perSet: make(map[string]map[hook.Kind]int64)}
+	defer r.close()
+	if err := r.standIns(); err != nil {
+		return nil, err
+	}
+	logFile := filepath.Join(dir, strings.ReplaceAll(name, " ", "-")+".log")
+	if err := r.start(logFile); err != nil {
+		return nil, err
+	}
+	return r.load(ctx, logFile)
+}
+
+func (r *run) standIns() error {
+	d := r.d
+	var classes []judge.Class
+	for _, c := range d.Classes {
+		classes = append(classes, judge.Class{Name: c.Name, Unsafe: c.Effect != "free", Need: c.Need, Floor: c.Floor})
+	}
+	r.j = judge.New(classes, grace)
+	var entries []disco.Entry
+	for i, name := range d.Servers() {
+		s, err := leaf.Listen(name, "", r.model(i), r.j)
+		if err != nil {
+			return err
+		}
+		r.leaves[name], r.addrs[name] = s, s.Addr
+		entries = append(entries, r.entry(name, "SERVING"))
+	}
+	var err error
+	if r.disco, err = disco.Listen(entries); err != nil {
+		return err
+	}
+	r.disco.Told = func(e disco.Entry, at time.Time) {
+		if e.Status == "SERVING" {
+			at = time.Time{}
+		}
+		r.j.Told(e.Name, at)
+	}
+	return nil
+}
+
+func (r *run) model(i int) leaf.Model {
+	f := r.d.Fleet
+	return leaf.Model{Cores: f.Cores, Room: f.Room, Median: f.Median, Sigma: f.Sigma, Seed: uint64(r.d.Seed)<<16 + uint64(i)}
+}
+
+func (r *run) entry(name, status string) disco.Entry {
+	cell, _ := strconv.Atoi(strings.Split(name, "-")[1])
+	return disco.Entry{Name: name, Address: r.addrs[name], Zone: "amman-north", Type: "std-2c", Group: cell, Status: status, Weight: 1}
+}
+
+// start writes the two files and starts the program.
+func (r *run) start(logFile string) error {
+	d := r.d
+	port, err := freePort()
+	if err != nil {
+		return err
+	}
+	r.listen = fmt.Sprintf("127.0.0.1:%d", port)
+	list := func(f func(Class) any) []any {
+		var out []any
+		for _, c := range d.Classes {
+			out = append(out, f(c))
+		}
+		return out
+	}
+	config := map[string]any{
+		"name": "lab", "listen": r.listen, "discovery": r.disco.Addr, "seed": fmt.Sprintf("%016x", d.Seed+1),
+		"limits": map[string]any{"cores": d.Mixer.Cores, "memory_mb": int64(d.Mixer.Memory >> 20), "sockets": d.Mixer.Sockets},
+		"known":  r.disco.Snapshot(),
+		"settings": map[string]any{"balancers": 1, "discovery": "ask", "resolution": 5000, "kinds": []string{"std-2c"}, "tenants": []any{},
+			"request-classes": list(func(c Class) any {
+				return map[string]any{"name": c.Name, "aim": c.Aim.Microseconds(), "deadline": c.Patience.Microseconds(), "effect": c.Effect,
+					"late-worth": 0.1, "memory-span": 5000000, "value": 1.0}
+			}),
+			"family-info": map[string]any{"bundle-max": 1, "class-fetch": list(func(Class) any { return 0 }),
+				"class-floor": list(func(c Class) any { return c.Floor }), "need-by-class": list(func(c Class) any { return c.Need }),
+				"partial-earns": list(func(Class) any { return 0.9 }), "places": d.Fleet.Cells, "slices": d.Fleet.Shards, "width": 1, "per-call-work": 0},
+			"limits": map[string]any{"cancel": true, "dial-timeout": 250000, "keepalive": 15000000, "max-retry-after": 2000000, "most-held": 20000,
+				"parallel-tries": false, "probes": true, "retry-after": false, "send-cap": 4, "streams-per-conn": 100},
+			"report": map[string]any{"fields": []string{"inflight"}, "source": "piggyback"},
+			"rules": map[string]any{"answer-slack": 20000, "ask-within": 10000000, "cold": 18000000, "drain-grace": 2000000, "fall": 2000000,
+				"fall-multiple": 2.0, "start-capacity": 0.16}}}
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(r.dir, "config.json"), text, 0o600); err != nil {
+		return err
+	}
+	args := []string{"serve", "--config", filepath.Join(r.dir, "config.json")}
+	if r.hooks {
+		if err := r.operator(d.path(d.Hooks.Dir)); err != nil {
+			return err
+		}
+		args = append(args, "--operator", r.operatorFile())
+	}
+	out, err := os.Create(logFile)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	r.cmd = exec.Command(r.opt.Program, args...)
+	r.cmd.Stdout, r.cmd.Stderr = out, out
+	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := r.cmd.Start(); err != nil {
+		return err
+	}
+	go func() { r.exited <- r.cmd.Wait() }()
+	for until := time.Now().Add(readyTime); ; time.Sleep(20 * time.Millisecond) {
+		if ready(r.listen) {
+			return nil
+		}
+		select {
+		case err := <-r.exited:
+			r.exited <- err
+			return fmt.Errorf("the mixer did not start: %v\n%s", err, tail(logFile))
+		default:
+		}
+		if time.Now().After(until) {
+			return errors.New("the mixer was not ready in time\n" + tail(logFile))
+		}
+	}
+}
+
+func (r *run) operatorFile() string { return filepath.Join(r.dir, "operator.ini") }
+func (r *run) socket() string       { return filepath.Join(r.dir, "s") }
+
+// operator writes the operator file, with a set's folder.
+func (r *run) operator(set string) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[control]\nsocket = %s\n[hooks]\n", r.socket())
+	h := r.d.Hooks
+	h.Dir = ""
+	if set != "" {
+		abs, err := filepath.Abs(set)
+		if err != nil {
+			return err
+		}
+		h.Dir = abs
+	}
+	for _, f := range inifile.Fields(&h) {
+		value := f.Value
+		if value == "true" {
+			value = "yes"
+		} else if value == "false" {
+			value = "no"
+		}
+		fmt.Fprintf(&b, "%s = %s\n", f.Key, value)
+	}
+	return os.WriteFile(r.operatorFile(), []byte(b.String()), 0o600)
+}
+
+// load runs the load and the steps, and looks at the mixer each second.
+func (r *run) load(ctx context.Context, logFile string) (*Run, error) {
+	d := r.d
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	desks := desk.New(desk.Config{Addr: func() string { return r.listen }, Shards: d.Fleet.Shards, Seed: uint64(d.Seed), Judge: r.j, Conns: d.Mixer.Sockets / 3})
+	begin := time.Now()
+	loading, stop := context.WithDeadline(ctx, begin.Add(d.Length))
+	defer stop()
+	var all sync.WaitGroup
+	for _, c := range d.Classes {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			desks.Run(loading, desk.Class{Name: c.Name, Rate: c.Rate, Parts: c.Parts, Patience: c.Patience, Text: c.Text}, begin)
+		}()
+	}
+	var steps sync.WaitGroup
+	steps.Add(1)
+	go func() {
+		defer steps.Done()
+		for _, s := range d.Steps {
+			select {
+			case <-loading.Done():
+				return
+			case <-time.After(time.Until(begin.Add(s.At))):
+			}
+			r.step(s, stop)
+		}
+	}()
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			r.look(begin)
+			select {
+			case <-loading.Done():
+				return
+			case err := <-r.exited:
+				r.exited <- err
+				r.mu.Lock()
+				stopping := r.stopping
+				r.mu.Unlock()
+				if !stopping {
+					r.fail("the mixer ended under load: %v", err)
+					stop()
+				}
+				return
+			case <-tick.C:
+			}
+		}
+	}()
+	all.Wait()
+	steps.Wait()
+	<-watched
+	span := time.Since(begin)
+	r.look(begin)
+	r.end(logFile)
+	out := &Run{Name: r.name, Verdict: r.j.Judge(begin.Add(d.Warmup), begin.Add(d.Length)), Unasked: desks.Close(), Log: logFile,
+		RSSMost: r.rss, FilesTop: r.files, Faults: r.faults, Broken: r.broken}
+	out.Rate = float64(out.Verdict.Queries) / min(span, d.Length).Seconds()
+	out.Verdict.Doubled += out.Unasked
+	for _, n := range r.calls {
+		out.Calls += n
+	}
+	for _, kinds := range r.perSet {
+		for k, n := range kinds {
+			out.Faults[k] += n
+		}
+	}
+	for _, n := range r.opened {
+		out.Opened += n
+	}
+	out.Report = r.report
+	if r.cmd.ProcessState != nil {
+		out.CPU = r.cmd.ProcessState.UserTime() + r.cmd.ProcessState.SystemTime()
+	}
+	return out, ctx.Err()
+}
+
+func (r *run) fail(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+// step does one step.
+func (r *run) step(s Step, stop func()) {
+	if !r.hooks && (strings.HasPrefix(s.Do, "hooks") || s.Do == "bad-hooks" || s.Do == "reload" || s.Do == "enable" || s.Do == "disable") {
+		return
+	}
+	r.mu.Lock()
+	r.last = s.Name
+	r.mu.Unlock()
+	if r.opt.Notice != nil {
+		r.opt.Notice(r.name, "%6v  step %s: %s %s", s.At, s.Name, s.Do, s.Set+s.Server+s.Hook)
+	}
+	var rep hook.Report
+	var err error
+	switch s.Do {
+	case "hooks", "bad-hooks":
+		r.look(time.Now()) // what the set that goes has counted
+		if err = control.Ask(r.socket(), &rep, "hooks", "list"); err != nil {
+			break
+		}
+		before := rep.Swaps
+		if err = r.operator(r.d.path(s.Set)); err != nil {
+			break
+		}
+		r.cmd.Process.Signal(syscall.SIGHUP)
+		for until := time.Now().Add(readyTime); ; time.Sleep(20 * time.Millisecond) {
+			if err = control.Ask(r.socket(), &rep, "hooks", "list"); err != nil {
+				break
+			}
+			if s.Do == "hooks" && rep.Swaps > before || s.Do == "bad-hooks" && rep.Rejected != "" {
+				break
+			}
+			if s.Do == "bad-hooks" && rep.Swaps > before {
+				err = errors.New("a bad set was put in force")
+				break
+			}
+			if rep.Rejected != "" && s.Do == "hooks" {
+				err = errors.New(rep.Rejected)
+				break
+			}
+			if time.Now().After(until) {
+				err = errors.New("nothing came of it")
+				break
+			}
+		}
+		if err == nil && s.By == "command" {
+			err = control.Ask(r.socket(), &rep, "hooks", "reload")
+		}
+	case "reload":
+		err = control.Ask(r.socket(), &rep, "hooks", "reload")
+	case "enable", "disable":
+		err = control.Ask(r.socket(), &rep, "hooks", s.Do, s.Hook)
+	case "stop":
+		r.look(time.Now())
+		r.mu.Lock()
+		r.stopping = true
+		r.mu.Unlock()
+		r.cmd.Process.Signal(syscall.SIGTERM)
+		time.Sleep(stopLoad)
+		stop()
+	case "hang", "fail", "busy", "well":
+		r.leaves[s.Server].Set(map[string]leaf.Mode{"hang": leaf.Hang, "fail": leaf.Fail, "busy": leaf.Busy, "well": leaf.Well}[s.Do])
+	case "kill":
+		r.leaves[s.Server].Close()
+	case "revive":
+		i := indexOf(r.d.Servers(), s.Server)
+		r.leaves[s.Server].Close()
+		var l *leaf.Server
+		if l, err = leaf.Listen(s.Server, r.addrs[s.Server], r.model(i), r.j); err == nil {
+			r.leaves[s.Server] = l
+		}
+	case "drain":
+		r.disco.Put(r.entry(s.Server, "DRAINING"))
+	case "serve":
+		r.disco.Put(r.entry(s.Server, "SERVING"))
+	}
+	if err != nil {
+		r.fail("step %s: %v", s.Name, err)
+	}
+}
+
+func indexOf(list []string, s string) int {
+	for i, x := range list {
+		if x == s {
+			return i
+		}
+	}
+	return -1
+}
+
+// look samples the mixer.
+func (r *run) look(begin time.Time) {
+	s := Sample{At: time.Since(begin), Of: r.d.Length, Open: r.j.Open()}
+	s.RSS, s.Files = process(r.cmd.Process.Pid)
+	var rep hook.Report
+	r.mu.Lock()
+	stopping := r.stopping
+	r.mu.Unlock()
+	asked := r.hooks && !stopping && control.Ask(r.socket(), &rep, "hooks", "list") == nil
+	r.mu.Lock()
+	r.rss, r.files = max(r.rss, s.RSS), max(r.files, s.Files)
+	if asked {
+		r.report = rep
+		for _, h := range rep.Hooks {
+			// Counts go on where the next set has the same hook, so the set is not in the key.
+			key := h.Name
+			r.calls[key], r.opened[key] = max(r.calls[key], h.Calls), max(r.opened[key], h.Opened)
+			r.perSet[key] = h.Faults
+		}
+	}
+	s.Hooks, s.LastSteps = rep.Hooks, r.last
+	r.mu.Unlock()
+	if r.opt.Progress != nil && s.At < 24*time.Hour && s.At > 0 {
+		r.opt.Progress(r.name, s)
+	}
+}
+
+// end stops the program and looks at how it ended.
+func (r *run) end(logFile string) {
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	r.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-r.exited:
+		if err != nil {
+			r.fail("the mixer ended with %v\n%s", err, tail(logFile))
+		}
+		r.exited <- err
+	case <-time.After(endTime):
+		r.fail("the mixer did not end %v after SIGTERM", endTime)
+		r.cmd.Process.Kill()
+		r.exited <- <-r.exited
+	}
+}
+
+func (r *run) close() {
+	if r.cmd != nil && r.cmd.Process != nil && r.cmd.ProcessState == nil {
+		r.cmd.Process.Kill()
+		<-r.exited
+	}
+	if r.disco != nil {
+		r.disco.Close()
+	}
+	for _, l := range r.leaves {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/internal/lab/drill/verdict.go
@@ -0,0 +1,196 @@
+package drill
+
+// This file says whether a drill passed, and prints why. A drill passes only if
+// no rule was broken and all that it says must happen did.
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"saddleport/internal/hook"
+	"saddleport/internal/lab/judge"
+)
+
+// Result is what playing a drill brought.
+type Result struct {
+	Drill *Drill `json:"-"`
+	Name  string
+	Base  *Run `json:",omitempty"` // without hooks, where the drill compares
+	Main  *Run
+	Unmet []string // what failed it beside the rules
+	Pass  bool
+}
+
+// Weigh decides. base may be nil.
+func Weigh(d *Drill, base, main *Run) *Result {
+	r := &Result{Drill: d, Name: d.Name, Base: base, Main: main}
+	unmet := func(format string, args ...any) { r.Unmet = append(r.Unmet, fmt.Sprintf(format, args...)) }
+	for _, run := range []*Run{base, main} {
+		if run == nil {
+			continue
+		}
+		for _, b := range run.Broken {
+			unmet("%s: %s", run.Name, b)
+		}
+		if !run.Verdict.Pass() {
+			unmet("%s: rules were broken", run.Name)
+		}
+		if run.RSSMost > d.Mixer.Memory {
+			unmet("%s: %v of memory, and the limit is %v", run.Name, run.RSSMost, d.Mixer.Memory)
+		}
+		if run.FilesTop > d.Mixer.Sockets {
+			unmet("%s: %d descriptors, and the limit is %d", run.Name, run.FilesTop, d.Mixer.Sockets)
+		}
+		if run.Rate < d.Expect.RateLeast {
+			unmet("%s: %.0f queries a second, not %.0f", run.Name, run.Rate, d.Expect.RateLeast)
+		}
+	}
+	for _, c := range d.Classes {
+		t := tally(main, c.Name)
+		if t == nil || t.Sent == 0 {
+			unmet("class %s: no query was sent", c.Name)
+			continue
+		}
+		if share := float64(t.Refused) / float64(t.Sent); share > c.RefusedMost {
+			unmet("class %s: %.1f%% were refused, and %.1f%% may be", c.Name, 100*share, 100*c.RefusedMost)
+		}
+		if share := float64(t.Failed) / float64(t.Sent); share > c.FailedMost {
+			unmet("class %s: %.1f%% failed, and %.1f%% may", c.Name, 100*share, 100*c.FailedMost)
+		}
+		if base == nil || c.Hooked {
+			continue
+		}
+		was := tally(base, c.Name)
+		if most := time.Duration(float64(was.P99)*(1+d.Expect.P99Within)) + d.Expect.P99Slack; t.P99 > most {
+			unmet("class %s, which no hook is for: p99 %v, without hooks %v", c.Name, t.P99, was.P99)
+		}
+	}
+	faults := 0
+	for _, n := range main.Faults {
+		faults += int(n)
+	}
+	e := d.Expect
+	if faults < e.FaultsLeast {
+		unmet("%d calls of hooks failed, and %d must: the drill did not show what it is for", faults, e.FaultsLeast)
+	}
+	for _, k := range e.Kinds {
+		if main.Faults[hook.Kind(k)] == 0 {
+			unmet("no call of a hook failed by %s", k)
+		}
+	}
+	if main.Report.Swaps < e.SwapsLeast {
+		unmet("%d sets were put in force, and %d must be", main.Report.Swaps, e.SwapsLeast)
+	}
+	if main.Opened < e.OpenedLeast {
+		unmet("breakers opened %d times, and must %d times", main.Opened, e.OpenedLeast)
+	}
+	if main.Calls < int64(e.CallsLeast) {
+		unmet("%d calls of hooks, and there must be %d", main.Calls, e.CallsLeast)
+	}
+	r.Pass = len(r.Unmet) == 0
+	return r
+}
+
+func tally(r *Run, class string) *judge.Tally {
+	for i := range r.Verdict.Classes {
+		if r.Verdict.Classes[i].Class == class {
+			return &r.Verdict.Classes[i]
+		}
+	}
+	return nil
+}
+
+// Print writes the tables.
+func (r *Result) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\thooks\tsent\tanswered\tpartial\trefused\tfailed\tlate\tlost\tdoubled\twrong\tp50\tp99\tp99 without\tchange\t")
+	for _, c := range r.Drill.Classes {
+		x := tally(r.Main, c.Name)
+		hooked, was, change := "no", "-", "-"
+		if c.Hooked {
+			hooked = "yes"
+		}
+		if r.Base != nil {
+			b := tally(r.Base, c.Name)
+			was = ms(b.P99)
+			change = fmt.Sprintf("%+.0f%%", 100*(float64(x.P99)/float64(b.P99)-1))
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t\n", c.Name, hooked, x.Sent, x.Answered, x.Partial, x.Refused,
+			x.Failed, x.Late, x.Lost, x.Doubled, x.Wrong, ms(x.P50), ms(x.P99), was, change)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, run := range []*Run{r.Base, r.Main} {
+		if run == nil {
+			continue
+		}
+		fmt.Fprintf(w, "%s: %.0f queries a second, %d in all; the mixer took %.1f s of a core, %d MiB and %d descriptors at most\n",
+			run.Name, run.Rate, run.Verdict.Queries, run.CPU.Seconds(), run.RSSMost>>20, run.FilesTop)
+	}
+	if r.Main.Report.Swaps > 0 {
+		var kinds []string
+		for _, k := range slices.SortedFunc(maps.Keys(r.Main.Faults), func(a, b hook.Kind) int { return cmp.Compare(a, b) }) {
+			kinds = append(kinds, fmt.Sprintf("%s=%d", k, r.Main.Faults[k]))
+		}
+		fmt.Fprintf(w, "hooks: %d sets put in force, %d calls, breakers opened %d times, faults %s\n", r.Main.Report.Swaps, r.Main.Calls,
+			r.Main.Opened, strings.Join(append(kinds, ""), " "))
+	}
+	for _, run := range []*Run{r.Base, r.Main} {
+		if run != nil {
+			for _, f := range run.Verdict.Faults {
+				fmt.Fprintf(w, "  %s: %s\n", run.Name, f)
+			}
+		}
+	}
+	for _, u := range r.Unmet {
+		fmt.Fprintf(w, "  not met: %s\n", u)
+	}
+	return nil
+}
+
+// Line is the last line of a drill.
+func (r *Result) Line() string {
+	verdict := "fail"
+	if r.Pass {
+		verdict = "pass"
+	}
+	sum := func(f func(*judge.Verdict) int) int {
+		n := f(r.Main.Verdict)
+		if r.Base != nil {
+			n += f(r.Base.Verdict)
+		}
+		return n
+	}
+	return fmt.Sprintf("verdict=%s queries=%d lost=%d late=%d doubled=%d wrong=%d", verdict,
+		sum(func(v *judge.Verdict) int { return v.Queries }), sum(func(v *judge.Verdict) int { return v.Lost }),
+		sum(func(v *judge.Verdict) int { return v.Late }), sum(func(v *judge.Verdict) int { return v.Doubled }),
+		sum(func(v *judge.Verdict) int { return v.Wrong + v.Drained }))
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1f ms", float64(d.Microseconds())/1000) }
+
+// Save writes the result into a folder.
+func (r *Result) Save(dir string) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "result.json"), append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	var b strings.Builder
+	if err := r.Print(&b); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "result.txt"), []byte(b.String()+r.Line()+"\n"), 0o644)
+}
--- /dev/null
+++ b/internal/lab/hookcost/hookcost.go
@@ -0,0 +1,219 @@
+// Package hookcost measures what a hook costs: the time of one call that does
+// nothing, by engine and point, and the memory of an instance. It owns the
+// measurement. It must never quote a mean where there is a distribution.
+package hookcost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"saddleport/internal/app"
+	"saddleport/internal/hook"
+	"saddleport/sdk/hookabi"
+)
+
+const (
+	warmup    = 200
+	instances = 8
+	script    = `
+def on_taken(q): pass
+def on_admission(q): pass
+def on_send(q): pass
+def on_answered(q): pass
+def on_answer(q): pass
+def on_ended(q): pass
+`
+)
+
+// Row is one engine at one point.
+type Row struct {
+	Engine, Point  string
+	Calls          int64
+	P50us, P99us   float64
+	Maxus, KiBCall float64 // KiBCall: allocated by one call
+}
+
+// Load is what loading costs.
+type Load struct {
+	Engine         string
+	LoadMS         float64 // compile and start so many instances
+	KiBInstance    float64 // kept by one instance, or by the compiled script
+	PeakMiB        float64 // taken from the system while loading
+	Instances      int
+	FreshInstances bool
+}
+
+// Table is a measurement.
+type Table struct {
+	Machine string
+	Rows    []Row
+	Loads   []Load
+	PipeP50 float64 // one exchange with a helper process over pipes, us
+	PipeP99 float64
+}
+
+var points = []hookabi.Point{hookabi.Taken, hookabi.Admission, hookabi.Send, hookabi.Answered, hookabi.Answer, hookabi.Ended}
+
+// view is that of a query of eight parts.
+func view(p hookabi.Point) *hookabi.View {
+	v := &hookabi.View{Point: p, ID: "9b1f03aa5c7e2d41", Class: "free-slots", Text: "gov=amman;clinic=8;day=2027-02-01", Left: 1e6, Part: -1}
+	for i := range 8 {
+		part := hookabi.PartView{Shard: i, Weight: 0.125, Attempts: 1, Served: p >= hookabi.Answered}
+		if p == hookabi.Answer {
+			part.Value = "5be2a07c19f04d63"
+		}
+		v.Parts = append(v.Parts, part)
+	}
+	if p == hookabi.Send || p == hookabi.Answered {
+		v.Part = 3
+	}
+	return v
+}
+
+// Measure measures all engines. guest is a module that does nothing.
+func Measure(ctx context.Context, guest string, calls int) (*Table, error) {
+	module, err := os.ReadFile(guest)
+	if err != nil {
+		return nil, fmt.Errorf("%w (sdk/build.sh makes it)", err)
+	}
+	t := &Table{Machine: fmt.Sprintf("%s, %s/%s, %d processors", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())}
+	for _, e := range []struct {
+		name, file string
+		text       []byte
+	}{{"starlark", "noop.star", []byte(script)}, {"wasm", "noop.wasm", module}, {"wasm-fresh", "noop.wasm", module}} {
+		if err := t.engine(ctx, e.name, e.file, e.text, calls); err != nil {
+			return nil, err
+		}
+	}
+	return t, t.pipe(calls)
+}
+
+func heap() (kept, system uint64) {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc, m.Sys
+}
+
+func (t *Table) engine(ctx context.Context, name, file string, text []byte, calls int) error {
+	n := instances
+	if name == "starlark" {
+		n = 1
+	}
+	before, sysBefore := heap()
+	start := time.Now()
+	p, err := app.Engines()[name].Load(ctx, hook.Source{Hook: "noop", File: file, Text: text, Points: points, Memory: 8 << 20, Steps: 100000, Calls: n})
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	took := time.Since(start)
+	after, sysAfter := heap()
+	t.Loads = append(t.Loads, Load{Engine: name, LoadMS: float64(took.Microseconds()) / 1000, Instances: n, FreshInstances: name == "wasm-fresh",
+		KiBInstance: float64(int64(after)-int64(before)) / 1024 / float64(n), PeakMiB: float64(int64(sysAfter)-int64(sysBefore)) / (1 << 20)})
+	for _, point := range points {
+		v := view(point)
+		h := hdrhistogram.New(1, int64(time.Minute), 3)
+		var m1, m2 runtime.MemStats
+		for i := range warmup + calls {
+			if i == warmup {
+				runtime.ReadMemStats(&m1)
+			}
+			call, cancel := context.WithTimeout(ctx, time.Second)
+			start := time.Now()
+			_, err := p.Call(call, v)
+			took := time.Since(start)
+			cancel()
+			if err != nil {
+				return fmt.Errorf("%s at %s: %w", name, point, err)
+			}
+			if i >= warmup {
+				h.RecordValue(max(took.Nanoseconds(), 1))
+			}
+		}
+		runtime.ReadMemStats(&m2)
+		us := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		t.Rows = append(t.Rows, Row{Engine: name, Point: point.String(), Calls: h.TotalCount(), P50us: us(50), P99us: us(99), Maxus: float64(h.Max()) / 1000,
+			KiBCall: float64(m2.TotalAlloc-m1.TotalAlloc) / 1024 / float64(calls)})
+	}
+	return nil
+}
+
+// pipe measures what a helper process would cost at the least: a view there and
+// back over two pipes, with nothing done to it.
+func (t *Table) pipe(calls int) error {
+	cmd := exec.Command("cat")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	b := hookabi.AppendView(nil, view(hookabi.Taken))
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	for i := range warmup + calls {
+		start := time.Now()
+		if _, err := in.Write(b); err != nil {
+			return err
+		}
+		if _, err := io.ReadFull(out, b); err != nil {
+			return err
+		}
+		if i >= warmup {
+			h.RecordValue(max(time.Since(start).Nanoseconds(), 1))
+		}
+	}
+	t.PipeP50, t.PipeP99 = float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000
+	in.Close()
+	return cmd.Wait()
+}
+
+// Print writes the tables in Markdown, which aligned columns are too.
+func (t *Table) Print(w io.Writer) error {
+	fmt.Fprintf(w, "%s. A view of eight parts; a hook that does nothing.\n\n", t.Machine)
+	rows := [][]string{{"engine", "point", "calls", "p50 us", "p99 us", "max us", "KiB allocated a call"}}
+	for _, r := range t.Rows {
+		rows = append(rows, []string{r.Engine, r.Point, fmt.Sprint(r.Calls), f(r.P50us), f(r.P99us), f(r.Maxus), f(r.KiBCall)})
+	}
+	if err := grid(w, rows); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	rows = [][]string{{"engine", "load ms", "instances", "KiB of heap an instance", "MiB from the system while loading"}}
+	for _, l := range t.Loads {
+		rows = append(rows, []string{l.Engine, f(l.LoadMS), fmt.Sprint(l.Instances), f(l.KiBInstance), f(l.PeakMiB)})
+	}
+	if err := grid(w, rows); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "\nThe same view to another process and back over pipes, nothing done to it: p50 %s us, p99 %s us.\n", f(t.PipeP50), f(t.PipeP99))
+	return err
+}
+
+func f(v float64) string { return fmt.Sprintf("%.1f", v) }
+
+func grid(w io.Writer, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	for i, r := range rows {
+		fmt.Fprintf(t, "| %s\t|\n", strings.Join(r, "\t| "))
+		if i == 0 {
+			fmt.Fprintf(t, "|%s\n", strings.Repeat(" ---\t|", len(r)))
+		}
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/lab/judge/judge.go
@@ -0,0 +1,346 @@
+// Package judge follows every query and part of a drill end to end and says which
+// rules were broken. It believes only what clients and stand-in leaf servers saw;
+// never the mixer's own word. It owns the record of a run. It must never sample:
+// one lost answer in a million counts.
+//
+// What it counts, after the platform's protocol:
+//
+//	lost     no whole answer came, and the client had not gone
+//	late     the final answer came after the client's time, and Slack
+//	doubled  a second answer; an attempt while another of its part is out; an
+//	         unsafe part that ran twice
+//	wrong    a value no leaf server made for that part, a part that was not asked
+//	         for, a whole mark without the share, a part of an answer below the
+//	         class's least, a refusal of what may have run
+//	drained  a part sent to a server more than the grace after its drain was told
+package judge
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Slack is how much later than its client's time an answer may come.
+const Slack = 50 * time.Millisecond
+
+// overlap is how long two attempts of a part may seem to be out at once: what the
+// stand-ins and the machine need to hear of the first one's end.
+const overlap = 25 * time.Millisecond
+
+// Class is what the judge must know of a class.
+type Class struct {
+	Name        string
+	Unsafe      bool
+	Need, Floor float64
+}
+
+// Part is a part that a client asked for.
+type Part struct {
+	Shard  int
+	Weight float64
+}
+
+// Hit is a value in an answer.
+type Hit struct {
+	Shard int
+	Value string
+}
+
+// Outcome is how a query ended, as its client saw it.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered Outcome = iota
+	Refused          // 429 or 503
+	Failed           // any other status
+	Lost             // no whole answer
+	Gone             // the client left
+)
+
+// Query is one query from a client's side.
+type Query struct {
+	ID       string
+	Class    string
+	Parts    []Part
+	Due      time.Time // when it should have been sent (open loop)
+	Sent     time.Time
+	Patience time.Duration
+	Ended    time.Time
+	Outcome  Outcome
+	Whole    bool
+	Hits     []Hit
+	Extra    bool // more came than one answer
+	Detail   string
+}
+
+// run is one attempt at a leaf server.
+type run struct {
+	server       string
+	at, until    time.Time // until: answered or given up; zero: never
+	ran          bool
+	value        string
+	afterDrainBy time.Duration
+}
+
+// Judge is the record of one run. Its methods may be called from any goroutine.
+type Judge struct {
+	classes map[string]Class
+	grace   time.Duration
+
+	mu      sync.Mutex
+	queries map[string]*Query
+	runs    map[string][]*run // by part id
+	drains  map[string]time.Time
+	open    int
+}
+
+// New returns a judge; grace is how long after a drain is told parts may be sent.
+func New(classes []Class, grace time.Duration) *Judge {
+	j := &Judge{classes: make(map[string]Class), grace: grace, queries: make(map[string]*Query),
+		runs: make(map[string][]*run), drains: make(map[string]time.Time)}
+	for _, c := range classes {
+		j.classes[c.Name] = c
+	}
+	return j
+}
+
+// Sent notes a query that a client is about to send.
+func (j *Judge) Sent(q *Query) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.queries[q.ID] = q
+	j.open++
+}
+
+// Ended notes how a query ended; its fields are final from then on.
+func (j *Judge) Ended(q *Query) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.open--
+}
+
+// Open counts the queries that have not ended.
+func (j *Judge) Open() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.open
+}
+
+// Told notes that discovery told of a server's drain; back that it serves again.
+func (j *Judge) Told(server string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if at.IsZero() {
+		delete(j.drains, server)
+	} else if j.drains[server].IsZero() {
+		j.drains[server] = at
+	}
+}
+
+// Attempt is one attempt as a stand-in leaf server sees it.
+type Attempt struct {
+	j *Judge
+	r *run
+}
+
+// Arrived notes an attempt.
+func (j *Judge) Arrived(part, server string, at time.Time) *Attempt {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := &run{server: server, at: at}
+	if told := j.drains[server]; !told.IsZero() && at.Sub(told) > j.grace {
+		r.afterDrainBy = at.Sub(told)
+	}
+	j.runs[part] = append(j.runs[part], r)
+	return &Attempt{j, r}
+}
+
+// Ran notes that the attempt is run from now on.
+func (a *Attempt) Ran() {
+	a.j.mu.Lock()
+	defer a.j.mu.Unlock()
+	a.r.ran = true
+}
+
+// Over notes that the attempt is answered, with a value if it was served, or has
+// been given up by the mixer.
+func (a *Attempt) Over(at time.Time, value string) {
+	a.j.mu.Lock()
+	defer a.j.mu.Unlock()
+	if a.r.until.IsZero() {
+		a.r.until = at
+	}
+	if value != "" {
+		a.r.value = value
+	}
+}
+
+// Tally is what became of one class.
+type Tally struct {
+	Class                                                         string
+	Sent, Answered, Partial, Refused, Failed, Late, Lost, Doubled int
+	Wrong, Drained, Parts                                         int
+	P50, P99, Max                                                 time.Duration // of answers, from the time they were due
+}
+
+// Verdict is the judge's word on a run.
+type Verdict struct {
+	Classes                                           []Tally
+	Queries, Lost, Late, Doubled, Wrong, Drained, Gap int
+	Faults                                            []string // the first of them, for people
+}
+
+const mostFaults = 20
+
+// Pass tells whether no rule was broken.
+func (v *Verdict) Pass() bool { return v.Lost+v.Late+v.Doubled+v.Wrong+v.Drained == 0 }
+
+// Judge looks at the whole record. All queries must have ended. Only queries due
+// in [from, to) count for the classes' latencies; the rules hold for all.
+func (j *Judge) Judge(from, to time.Time) *Verdict {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	v := &Verdict{}
+	tallies := make(map[string]*Tally)
+	spans := make(map[string]*hdrhistogram.Histogram)
+	fault := func(format string, args ...any) {
+		if len(v.Faults) < mostFaults {
+			v.Faults = append(v.Faults, fmt.Sprintf(format, args...))
+		}
+	}
+	for name := range j.classes {
+		tallies[name] = &Tally{Class: name}
+		spans[name] = hdrhistogram.New(1, int64(2*time.Minute/time.Microsecond), 3)
+	}
+	asked := make(map[string]*Query)
+	for _, id := range slices.Sorted(maps.Keys(j.queries)) {
+		q := j.queries[id]
+		t, c := tallies[q.Class], j.classes[q.Class]
+		v.Queries++
+		t.Sent++
+		for _, p := range q.Parts {
+			asked[partID(q, p.Shard)] = q
+		}
+		switch q.Outcome {
+		case Answered:
+			t.Answered++
+			if !q.Whole {
+				t.Partial++
+			}
+			if !q.Due.Before(from) && q.Due.Before(to) {
+				spans[q.Class].RecordValue(max(q.Ended.Sub(q.Due).Microseconds(), 1))
+			}
+			if why := j.wrong(q, c); why != "" {
+				t.Wrong++
+				fault("wrong: query %s (%s): %s", q.ID, q.Class, why)
+			}
+		case Refused:
+			t.Refused++
+			if c.Unsafe && j.ran(q) {
+				t.Wrong++
+				fault("wrong: query %s (%s) was refused, and a part of it ran", q.ID, q.Class)
+			}
+		case Failed:
+			t.Failed++
+		case Lost:
+			t.Lost++
+			fault("lost: query %s (%s): %s", q.ID, q.Class, q.Detail)
+		}
+		if q.Extra {
+			t.Doubled++
+			fault("doubled: query %s (%s) was answered twice", q.ID, q.Class)
+		}
+		if q.Outcome != Gone && q.Outcome != Lost && q.Ended.Sub(q.Sent) > q.Patience+Slack {
+			t.Late++
+			fault("late: query %s (%s) took %v of %v", q.ID, q.Class, q.Ended.Sub(q.Sent), q.Patience)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(j.runs)) {
+		runs, q := j.runs[id], asked[id]
+		if q == nil {
+			v.Wrong++
+			fault("wrong: part %s was asked for by no client", id)
+			continue
+		}
+		t := tallies[q.Class]
+		t.Parts += len(runs)
+		ran := 0
+		for i, r := range runs {
+			if r.ran {
+				ran++
+			}
+			if r.afterDrainBy > 0 {
+				t.Drained++
+				fault("drained: part %s came to %s %v after its drain was told", id, r.server, r.afterDrainBy)
+			}
+			for _, next := range runs[i+1:] {
+				if r.until.IsZero() || r.until.Sub(next.at) > overlap {
+					t.Doubled++
+					fault("doubled: part %s was out at %s and at %s", id, r.server, next.server)
+				}
+			}
+		}
+		if j.classes[q.Class].Unsafe && ran > 1 {
+			t.Doubled++
+			fault("doubled: part %s of %s ran %d times", id, q.Class, ran)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(tallies)) {
+		t, h := tallies[name], spans[name]
+		t.P50 = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
+		t.P99 = time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
+		t.Max = time.Duration(h.Max()) * time.Microsecond
+		v.Classes = append(v.Classes, *t)
+		v.Lost += t.Lost
+		v.Late += t.Late
+		v.Doubled += t.Doubled
+		v.Wrong += t.Wrong
+		v.Drained += t.Drained
+	}
+	return v
+}
+
+func partID(q *Query, shard int) string { return fmt.Sprintf("%s.%d", q.ID, shard) }
+
+func (j *Judge) ran(q *Query) bool {
+	for _, p := range q.Parts {
+		for _, r := range j.runs[partID(q, p.Shard)] {
+			if r.ran {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// wrong tells what is wrong with an answer; empty: nothing.
+func (j *Judge) wrong(q *Query, c Class) string {
+	share, seen := 0.0, make(map[int]bool)
+	for _, h := range q.Hits {
+		i := slices.IndexFunc(q.Parts, func(p Part) bool { return p.Shard == h.Shard })
+		switch {
+		case i < 0:
+			return fmt.Sprintf("shard %d was not asked for", h.Shard)
+		case seen[h.Shard]:
+			return fmt.Sprintf("shard %d stands twice", h.Shard)
+		case !slices.ContainsFunc(j.runs[partID(q, h.Shard)], func(r *run) bool { return r.value == h.Value && r.value != "" }):
+			return fmt.Sprintf("shard %d: no leaf server made %.40q", h.Shard, h.Value)
+		}
+		seen[h.Shard] = true
+		share += q.Parts[i].Weight
+	}
+	const slack = 1e-3
+	switch {
+	case q.Whole && share < c.Need-slack:
+		return fmt.Sprintf("marked whole with %.3f of %.3f", share, c.Need)
+	case !q.Whole && share < c.Floor-slack:
+		return fmt.Sprintf("%.3f of an answer, and the least is %.3f", share, c.Floor)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/judge/judge_test.go
@@ -0,0 +1,103 @@
+package judge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// play judges one query that a scene tells of.
+func play(class string, scene func(j *Judge, q *Query)) *Verdict {
+	j := New([]Class{{Name: "free-slots", Need: 0.5, Floor: 0.5}, {Name: "book-trip", Unsafe: true, Need: 1, Floor: 1}}, 2*time.Second)
+	q := &Query{ID: "q", Class: class, Parts: []Part{{0, 0.4}, {1, 0.6}}, Due: at(0), Sent: at(0), Patience: time.Second, Ended: at(100)}
+	j.Sent(q)
+	scene(j, q)
+	j.Ended(q)
+	return j.Judge(at(0), at(1000))
+}
+
+func served(j *Judge, part, server string, from, to int, value string) {
+	a := j.Arrived(part, server, at(from))
+	a.Ran()
+	a.Over(at(to), value)
+}
+
+// Each rule is broken once, and each is found; what is right passes.
+func TestRules(t *testing.T) {
+	for name, c := range map[string]struct {
+		class string
+		scene func(j *Judge, q *Query)
+		want  Verdict
+	}{
+		"well": {"free-slots", func(j *Judge, q *Query) {
+			served(j, "q.1", "a", 10, 50, "v1")
+			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+		}, Verdict{}},
+		"tried again": {"free-slots", func(j *Judge, q *Query) {
+			served(j, "q.1", "a", 10, 50, "")
+			served(j, "q.1", "b", 51, 60, "v1")
+			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+		}, Verdict{}},
+		"lost":         {"free-slots", func(j *Judge, q *Query) { q.Outcome = Lost }, Verdict{Lost: 1}},
+		"late":         {"free-slots", func(j *Judge, q *Query) { q.Outcome, q.Ended = Failed, at(1051) }, Verdict{Late: 1}},
+		"just in time": {"free-slots", func(j *Judge, q *Query) { q.Outcome, q.Ended = Failed, at(1050) }, Verdict{}},
+		"two answers":  {"free-slots", func(j *Judge, q *Query) { q.Outcome, q.Extra = Refused, true }, Verdict{Doubled: 1}},
+		"two attempts at once": {"free-slots", func(j *Judge, q *Query) {
+			served(j, "q.1", "a", 10, 90, "")
+			served(j, "q.1", "b", 50, 60, "v1")
+			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+		}, Verdict{Doubled: 1}},
+		"never given up": {"free-slots", func(j *Judge, q *Query) {
+			j.Arrived("q.1", "a", at(10))
+			served(j, "q.1", "b", 50, 60, "v1")
+			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+		}, Verdict{Doubled: 1}},
+		"ran twice": {"book-trip", func(j *Judge, q *Query) {
+			served(j, "q.1", "a", 10, 50, "")
+			served(j, "q.1", "b", 51, 60, "v1")
+			q.Outcome = Failed
+		}, Verdict{Doubled: 1}},
+		"refused after it ran": {"book-trip", func(j *Judge, q *Query) {
+			served(j, "q.1", "a", 10, 50, "v1")
+			q.Outcome = Refused
+		}, Verdict{Wrong: 1}},
+		"made up": {"free-slots", func(j *Judge, q *Query) {
+			served(j, "q.1", "a", 10, 50, "v1")
+			q.Whole, q.Hits = true, []Hit{{1, "v2"}}
+		}, Verdict{Wrong: 1}},
+		"not asked for": {"free-slots", func(j *Judge, q *Query) { q.Whole, q.Hits = true, []Hit{{7, "v"}} }, Verdict{Wrong: 1}},
+		"whole with too little": {"free-slots", func(j *Judge, q *Query) {
+			served(j, "q.0", "a", 10, 50, "v")
+			q.Whole, q.Hits = true, []Hit{{0, "v"}}
+		}, Verdict{Wrong: 1}},
+		"less than the least": {"free-slots", func(j *Judge, q *Query) {
+			served(j, "q.0", "a", 10, 50, "v")
+			q.Hits = []Hit{{0, "v"}}
+		}, Verdict{Wrong: 1}},
+		"twice in one answer": {"free-slots", func(j *Judge, q *Query) {
+			served(j, "q.1", "a", 10, 50, "v")
+			q.Whole, q.Hits = true, []Hit{{1, "v"}, {1, "v"}}
+		}, Verdict{Wrong: 1}},
+		"nobody asked": {"free-slots", func(j *Judge, q *Query) {
+			j.Arrived("x.1", "a", at(1)).Over(at(2), "")
+			q.Outcome = Refused
+		}, Verdict{Wrong: 1}},
+		"after a drain": {"free-slots", func(j *Judge, q *Query) {
+			j.Told("a", at(-2100))
+			served(j, "q.1", "a", 10, 50, "v1")
+			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+		}, Verdict{Drained: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := play(c.class, c.scene)
+			require.Equal(t, c.want, Verdict{Lost: got.Lost, Late: got.Late, Doubled: got.Doubled, Wrong: got.Wrong, Drained: got.Drained})
+			require.Equal(t, name == "well" || name == "tried again" || name == "just in time", got.Pass())
+			require.Equal(t, got.Pass(), len(got.Faults) == 0)
+		})
+	}
+}
--- a/internal/hook/testdata/trouble/main.go
+++ b/sdk/examples/trouble/main.go
@@ -1,4 +1,4 @@
-// Command trouble is the guest of the host's tests: the query's text says what it
+// Command trouble is the guest of tests and drills: the query's text says what it
 // does wrong.
 package main
 
