--- a/internal/core/lanes/lanes.go
+++ b/internal/core/lanes/lanes.go
@@ -83,9 +83,6 @@
 	}
 }
 
-// Grow adds a worker, in place of one that will not come back.
-func (l *Lanes[T]) Grow() { l.workers++ }
-
 // Waiting and Running count the jobs.
 func (l *Lanes[T]) Waiting() int { return l.waiting }
 func (l *Lanes[T]) Running() int { return l.running }
--- a/internal/hook/host.go
+++ b/internal/hook/host.go
@@ -37,7 +37,10 @@
 	Share       float64       `ini:"breaker-share" default:"0.2" range:"0.01..1" help:"or this share of its calls in 10 s, of 20 at least"`
 	FirstPause  time.Duration `ini:"breaker-pause" default:"1s" range:"10ms..1h" help:"the first quarantine; each further one is twice as long"`
 	MostPause   time.Duration `ini:"breaker-most-pause" default:"1m" range:"10ms..24h" help:"the longest"`
-	Trials      int           `ini:"breaker-trials" default:"5" range:"1..1000" help:"trial calls in a row that must succeed"`
+	// StuckAfter beyond its budget a call that has not ended counts as one that never
+	// will; 0: the usual second. It is not for the file.
+	StuckAfter time.Duration
+	Trials     int `ini:"breaker-trials" default:"5" range:"1..1000" help:"trial calls in a row that must succeed"`
 }
 
 // Check is for the operator file.
@@ -192,7 +195,7 @@
 				if !h.set.acquire() {
 					return nil
 				}
-				s := &session{host: h, set: h.set, most: h.settings.MostWait}
+				s := &session{host: h, set: h.set, most: h.settings.MostWait, stuck: cmp.Or(h.settings.StuckAfter, stuckAfter)}
 				s.users.Store(1)
 				return s
 			}
--- /dev/null
+++ b/internal/hook/host_test.go
@@ -0,0 +1,389 @@
+package hook_test
+
+// The host with an engine of the test's own, whose calls end when the test says.
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"saddleport/choice"
+	"saddleport/internal/exchange"
+	"saddleport/internal/hook"
+	"saddleport/internal/hook/starlark"
+	"saddleport/internal/inifile"
+	"saddleport/internal/logs"
+	"saddleport/sdk/hookabi"
+)
+
+var classes = []choice.Class{{Name: "free-slots", Need: 0.5, Floor: 0.5}, {Name: "trip-report", Need: 1, Floor: 1},
+	{Name: "book-trip", Effect: choice.Unsafe, Need: 1, Floor: 1}}
+
+// engine's programs do as their file's first word says.
+type engine struct {
+	mu     sync.Mutex
+	calls  map[string]int
+	closed map[string]int
+	hold   chan struct{} // "wait" waits for it, "deaf" too and without an ear for its context
+}
+
+func newEngine() *engine {
+	return &engine{calls: make(map[string]int), closed: make(map[string]int), hold: make(chan struct{})}
+}
+
+type fake struct {
+	e    *engine
+	word string
+	src  hook.Source
+}
+
+func (e *engine) Load(_ context.Context, src hook.Source) (hook.Program, error) {
+	word := strings.TrimSpace(string(src.Text))
+	if word == "unloadable" {
+		return nil, fmt.Errorf("%s:1: on purpose", src.File)
+	}
+	return &fake{e, word, src}, nil
+}
+
+func (f *fake) Call(ctx context.Context, v *hookabi.View) (*hookabi.Result, error) {
+	f.e.mu.Lock()
+	f.e.calls[f.src.Hook]++
+	f.e.mu.Unlock()
+	switch f.word {
+	case "wait":
+		select {
+		case <-f.e.hold:
+		case <-ctx.Done():
+			return nil, hook.Faultf(hook.Overrun, "waited")
+		}
+	case "deaf":
+		<-f.e.hold
+	case "throw":
+		return nil, hook.Faultf(hook.Thrown, "on purpose")
+	case "panic":
+		panic("on purpose")
+	}
+	return &hookabi.Result{Tags: []hookabi.Pair{{Name: f.src.Hook, Value: f.word}}}, nil
+}
+
+func (f *fake) Close() {
+	f.e.mu.Lock()
+	defer f.e.mu.Unlock()
+	f.e.closed[f.src.Hook+" "+f.word]++
+}
+
+func (e *engine) count(m map[string]int, k string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return m[k]
+}
+
+// set writes a set: each hook is "NAME WORD MORE KEYS".
+func set(t testing.TB, hooks ...string) string {
+	dir := t.TempDir()
+	text := "[set]\nname = s\n"
+	for _, h := range hooks {
+		f := strings.SplitN(h, " ", 3)
+		more := ""
+		if len(f) > 2 {
+			more = strings.ReplaceAll(f[2], "; ", "\n")
+		}
+		if !strings.Contains(more, "points") {
+			more += "\npoints = taken"
+		}
+		text += fmt.Sprintf("[hook %s]\nfile = %s.star\n%s\n", f[0], f[0], more)
+		require.NoError(t, os.WriteFile(filepath.Join(dir, f[0]+".star"), []byte(f[1]), 0o600))
+	}
+	require.NoError(t, os.WriteFile(filepath.Join(dir, hook.ManifestName), []byte(text), 0o600))
+	return dir
+}
+
+func host(t testing.TB, e *engine, change func(*hook.Settings)) *hook.Host {
+	t.Cleanup(logs.To(testWriter{}))
+	var s hook.Settings
+	inifile.Default(&s)
+	s.MostWait = time.Second
+	if change != nil {
+		change(&s)
+	}
+	return hook.NewHost(s, map[string]hook.Engine{"starlark": e}, classes)
+}
+
+type testWriter struct{}
+
+func (testWriter) Write(b []byte) (int, error) { return len(b), nil }
+
+func query(class string) *hookabi.View {
+	return &hookabi.View{Point: hookabi.Taken, ID: "q", Class: class, Left: 1e6, Part: -1, Parts: []hookabi.PartView{{Shard: 1, Weight: 1}}}
+}
+
+// asked asks a session and returns a channel with the ruling.
+func asked(s exchange.Hooked, class string, within time.Duration) chan *hookabi.Result {
+	out := make(chan *hookabi.Result, 1)
+	s.Ask(query(class), within, func(r *hookabi.Result) { out <- r })
+	return out
+}
+
+// A class whose hooks hang keeps all workers but one; another class is served,
+// and when the hanging class's room is full its failure rule counts at once.
+func TestPoolIsShared(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	e := newEngine()
+	h := host(t, e, func(s *hook.Settings) { s.Workers, s.Queue, s.StuckAfter = 3, 8, time.Hour })
+	defer h.Close()
+	require.NoError(t, h.Reload(set(t, "slow deaf classes = trip-report; on-failure = refuse; budget = 100ms", "quick ok classes = free-slots")))
+	slow := h.Begin("trip-report")
+	var held []chan *hookabi.Result
+	for range 2 { // the two workers that its class may have
+		held = append(held, asked(slow, "trip-report", time.Hour))
+	}
+	for e.count(e.calls, "slow") < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 4 { // and half of the room to wait
+		held = append(held, asked(slow, "trip-report", time.Hour))
+	}
+	full := <-asked(slow, "trip-report", time.Hour)
+	require.True(t, full.Refuse, "no room: the failure rule, at once")
+	require.Equal(t, "hook slow did not answer", full.Reason)
+	quick := h.Begin("free-slots")
+	require.Equal(t, []hookabi.Pair{{Name: "quick", Value: "ok"}}, (<-asked(quick, "free-slots", time.Hour)).Tags)
+	require.GreaterOrEqual(t, h.Report().Running, 2)
+	close(e.hold)
+	for _, c := range held {
+		<-c
+	}
+	slow.End(nil)
+	quick.End(nil)
+}
+
+// Sets are swapped ten times with a query out under each: it ends under the set it
+// began with, and each set is freed with its last query, not before.
+func TestSwaps(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	e := newEngine()
+	h := host(t, e, nil)
+	var sessions []exchange.Hooked
+	for i := range 10 {
+		require.NoError(t, h.Reload(set(t, fmt.Sprintf("h%d ok", i))))
+		sessions = append(sessions, h.Begin("free-slots"))
+	}
+	require.Equal(t, 10, h.Report().Swaps)
+	for i, s := range sessions {
+		name := fmt.Sprintf("h%d", i)
+		require.Equal(t, name, (<-asked(s, "free-slots", time.Hour)).Tags[0].Name)
+		require.Zero(t, e.count(e.closed, name+" ok"))
+		s.End(query("free-slots"))
+		if i < 9 {
+			for e.count(e.closed, name+" ok") == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	h.Close()
+	for e.count(e.closed, "h9 ok") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A set that does not load, or fails its tests, leaves the one in force.
+func TestBadSet(t *testing.T) {
+	e := newEngine()
+	h := host(t, e, nil)
+	defer h.Close()
+	require.NoError(t, h.Reload(set(t, "good ok")))
+	err := h.Reload(set(t, "good ok", "bad unloadable"))
+	require.ErrorContains(t, err, "hooks.ini:8: [hook bad] file: bad.star:1: on purpose")
+	require.Contains(t, h.Report().Rejected, "on purpose")
+	require.Equal(t, 1, h.Report().Version)
+	require.Equal(t, 1, h.Report().Swaps)
+	dir := set(t, "good ok")
+	f, err := os.OpenFile(filepath.Join(dir, hook.ManifestName), os.O_APPEND|os.O_WRONLY, 0)
+	require.NoError(t, err)
+	_, err = f.WriteString("[test t]\nhook = good\nview = v.json\nexpect = e.json\n")
+	require.NoError(t, err)
+	require.NoError(t, f.Close())
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "v.json"), []byte(`{"point":"taken","class":"free-slots"}`), 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "e.json"), []byte(`{"tags":{"good":"other"}}`), 0o600))
+	require.ErrorContains(t, h.Reload(dir), `[test t]: wanted {"tags":{"good":"other"}}, got {"tags":{"good":"ok"}}`)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "e.json"), []byte(`{"tags":{"good":"ok"}}`), 0o600))
+	require.NoError(t, h.Reload(dir))
+	require.Empty(t, h.Report().Rejected)
+}
+
+// Failures put a hook in quarantine: it is not called, and its rule counts. The
+// same hook keeps its state over a reload; a changed one starts anew, and so does
+// one that an operator enables.
+func TestQuarantine(t *testing.T) {
+	e := newEngine()
+	h := host(t, e, func(s *hook.Settings) { s.FirstPause, s.MostPause = time.Hour, time.Hour })
+	defer h.Close()
+	dir := set(t, "bad throw on-failure = refuse; retry-after = 2s", "well ok order = 200")
+	require.NoError(t, h.Reload(dir))
+	s := h.Begin("free-slots")
+	for range 9 {
+		r := <-asked(s, "free-slots", time.Hour)
+		require.True(t, r.Refuse)
+		require.EqualValues(t, 2e6, r.RetryAfter)
+	}
+	s.End(nil)
+	require.Equal(t, 5, e.count(e.calls, "bad"))
+	st := h.Report().Hooks[0]
+	require.Equal(t, "quarantine", st.State)
+	require.Equal(t, "5 failures in a row: thrown", st.Reason)
+	require.Equal(t, map[hook.Kind]int64{hook.Thrown: 5, hook.Quarantined: 4}, st.Faults)
+
+	require.NoError(t, h.Reload(dir))
+	require.Equal(t, "quarantine", h.Report().Hooks[0].State)
+	require.NoError(t, h.Enable("bad", false))
+	require.Equal(t, "disabled", h.Report().Hooks[0].State)
+	s = h.Begin("free-slots")
+	require.False(t, (<-asked(s, "free-slots", time.Hour)).Refuse, "left out, whatever its rule")
+	s.End(nil)
+	require.NoError(t, h.Enable("bad", true))
+	require.Equal(t, "in service", h.Report().Hooks[0].State)
+	require.ErrorIs(t, h.Enable("none", true), hook.ErrUnknown)
+
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "bad.star"), []byte("ok"), 0o600))
+	require.NoError(t, h.Reload(dir))
+	s = h.Begin("free-slots")
+	require.False(t, (<-asked(s, "free-slots", time.Hour)).Refuse)
+	s.End(nil)
+}
+
+// An engine that can't be interrupted costs its hook its place, not the pool its
+// worker; one that panics is a fault like any other.
+func TestStuckAndPanic(t *testing.T) {
+	e := newEngine()
+	h := host(t, e, func(s *hook.Settings) { s.Workers, s.StuckAfter = 1, time.Millisecond })
+	defer h.Close()
+	require.NoError(t, h.Reload(set(t, "deaf deaf classes = trip-report; budget = 1ms", "well ok classes = free-slots", "odd panic classes = book-trip")))
+	stuck, well, odd := h.Begin("trip-report"), h.Begin("free-slots"), h.Begin("book-trip")
+	lost := asked(stuck, "trip-report", time.Hour)
+	for h.Report().Hooks[0].State != "stuck" {
+		time.Sleep(time.Millisecond)
+	}
+	require.NotNil(t, <-asked(well, "free-slots", time.Hour))
+	again := <-asked(stuck, "trip-report", time.Hour)
+	require.Empty(t, again.Tags)
+	require.Equal(t, 1, e.count(e.calls, "deaf"))
+	require.Empty(t, (<-asked(odd, "book-trip", time.Hour)).Tags)
+	require.Contains(t, h.Report().Hooks[2].LastFault, "the engine panicked: on purpose")
+	close(e.hold)
+	<-lost
+	for _, s := range []exchange.Hooked{stuck, well, odd} {
+		s.End(nil)
+	}
+}
+
+// A query whose time is over by the time a worker is free costs its hook nothing.
+func TestShort(t *testing.T) {
+	e := newEngine()
+	h := host(t, e, nil)
+	defer h.Close()
+	require.NoError(t, h.Reload(set(t, "h ok on-failure = refuse")))
+	s := h.Begin("free-slots")
+	r := <-asked(s, "free-slots", -time.Second)
+	require.True(t, r.Refuse)
+	require.Zero(t, e.count(e.calls, "h"))
+	require.Equal(t, map[hook.Kind]int64{hook.Short: 1}, h.Report().Hooks[0].Faults)
+	s.End(nil)
+	require.Nil(t, host(t, e, nil).Begin("free-slots"), "no set, no session")
+}
+
+func TestManifestFaults(t *testing.T) {
+	head := "[set]\nname = s\n"
+	for text, want := range map[string]string{
+		"":                         "hooks.ini: no section [set]",
+		"[set]\nname = S":          "hooks.ini:2: [set] name: 1 to 32 of a-z, 0-9 and -",
+		"[set]\nname = s\nabi = 2": `hooks.ini:3: [set] abi: "2" is not within 1 to 1`,
+		head + "[hook A]\n":        "hooks.ini:3: [hook A]: a name is 1 to 32 of a-z, 0-9 and -",
+		head + "[hook a]\n":        "must be given",
+		head + "[hook a]\nfile=a.py\npoints=taken":                             "hooks.ini:4: [hook a] file: a.py: neither .star nor .wasm: say which engine",
+		head + "[hook a]\nfile=a.star\npoints=late":                            `hooks.ini:5: [hook a] points: "late" is none of: taken, admission, send, answered, answer, ended`,
+		head + "[hook a]\nfile=a.star\npoints=":                                "hooks.ini:5: [hook a] points: none is named",
+		head + "[hook a]\nfile=a.star\npoints=taken\nclasses=x":                "hooks.ini:6: [hook a] classes: x: there is no such class; there are: free-slots, trip-report, book-trip",
+		head + "[hook a]\nfile=a.star\npoints=taken\nbudget=1s":                `hooks.ini:6: [hook a] budget: "1s" is not within 100us to 100ms`,
+		head + "[hook a]\nfile=a.star\npoints=taken\nonfailure=skip":           "hooks.ini:6: [hook a] onfailure: no such key here; is on-failure meant?",
+		head + "[test t]\nhook=a\nview=v\nexpect=e":                            "hooks.ini:4: [test t] hook: a: there is no such hook",
+		head + "[hook a]\nfile=a.star\npoints=taken\n[test t]\nhook=a\nview=v": "hooks.ini:6: [test t]: one of expect and fault must be given",
+		head + "[other]": "hooks.ini:3: [other]: no such section; there are: set, hook NAME, test NAME",
+	} {
+		_, err := hook.ParseManifest("hooks.ini", []byte(text), []string{"free-slots", "trip-report", "book-trip"})
+		require.ErrorContains(t, err, want, text)
+	}
+	// Files outside the folder, or missing, or too much memory.
+	for _, c := range [][2]string{
+		{"a ok file2", "no such key"},
+		{"a ok memory = 64MiB", "[hook a] memory: the set could need 256MiB with 4 calls at once, and may have 128MiB"},
+	} {
+		l := hook.Loader{Engines: map[string]hook.Engine{"starlark": newEngine()}, Classes: classes, Workers: 4, Memory: 128 << 20}
+		_, err := l.Load(set(t, strings.Replace(c[0], "file2", "filee = x", 1)))
+		require.ErrorContains(t, err, c[1])
+	}
+	for file, want := range map[string]string{"../x.star": "[hook a] file: ../x.star: path escapes", "none.star": "no such file", ".": "neither .star"} {
+		dir := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(dir, "hooks.ini"), []byte(head+"[hook a]\nfile = "+file+"\npoints = taken\n"), 0o600))
+		_, err := hook.ReadManifest(dir, nil)
+		require.ErrorContains(t, err, want)
+	}
+}
+
+// Whatever a manifest says: a complaint, or hooks within their bounds.
+func FuzzManifest(f *testing.F) {
+	for _, dir := range []string{"../../deploy/hooks-example", "../../drills/sets/broken", "../app/testdata/sets/play"} {
+		text, err := os.ReadFile(filepath.Join(dir, "hooks.ini"))
+		require.NoError(f, err)
+		f.Add(string(text))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		m, err := hook.ParseManifest("f", []byte(text), nil)
+		if err != nil {
+			return
+		}
+		for _, h := range m.Hooks {
+			require.True(t, hookabi.Name(h.Name))
+			require.NotEmpty(t, h.Points)
+			require.LessOrEqual(t, h.Budget, 100*time.Millisecond)
+			require.LessOrEqual(t, h.Memory, inifile.Bytes(64<<20))
+		}
+	})
+}
+
+// The sets that the repository ships load and pass their tests, and the one that
+// is meant to fail does.
+func TestShippedSets(t *testing.T) {
+	l := hook.Loader{Engines: map[string]hook.Engine{"starlark": starlark.Engine{}}, Classes: classes, Workers: 4, Memory: 128 << 20}
+	for _, name := range []string{"../../deploy/hooks-example", "../../drills/sets/good", "../../drills/sets/broken", "../../drills/sets/slow",
+		"../../drills/sets/pool", "../../drills/sets/afterrun", "../../drills/sets/stop"} {
+		_, err := l.Load(name)
+		require.NoError(t, err, name)
+	}
+	_, err := l.Load("../../drills/sets/bad")
+	require.ErrorContains(t, err, "[test says-amman]: wanted")
+}
+
+// A trial tells what each hook did, and ends as a mixer would end the query.
+func TestTrial(t *testing.T) {
+	l := hook.Loader{Engines: map[string]hook.Engine{"starlark": starlark.Engine{}}, Classes: classes, Workers: 1}
+	s, err := l.Load("../../deploy/hooks-example")
+	require.NoError(t, err)
+	q, err := hook.ParseView([]byte(`{"id":"q","class":"book-trip","text":"gov=zarqa;clinic=7","parts":[{"shard":1,"weight":1,"value":"v"}]}`))
+	require.NoError(t, err)
+	steps, end := l.Trial(s, q)
+	require.Len(t, steps, 2)
+	require.Equal(t, `{"tags":{"governorate":"zarqa"},"notes":{"governorate":"zarqa"}}`, steps[0].Answer)
+	require.Equal(t, "refused: clinic 7 is closed: renovation until Sunday", end)
+	_, err = hook.ParseView([]byte(`{"clas":"x"}`))
+	require.EqualError(t, err, "clas: a view has no such field")
+	_, err = hook.ParseView([]byte(`{"parts":[{"shard":"x"}]}`))
+	require.EqualError(t, err, "parts.0.shard: not a number")
+}
--- a/internal/hook/manifest.go
+++ b/internal/hook/manifest.go
@@ -137,7 +137,7 @@
 	about := false
 	for _, s := range doc.Sections {
 		m.lines[s.Name] = s
-		if s.Kind != "set" && !hookabi.Name(s.Label) {
+		if (s.Kind == "hook" || s.Kind == "test") && !hookabi.Name(s.Label) {
 			return nil, s.Fault("", "a name is 1 to 32 of a-z, 0-9 and -")
 		}
 		switch s.Kind {
--- a/internal/hook/pool.go
+++ b/internal/hook/pool.go
@@ -16,8 +16,8 @@
 
 type job struct {
 	until time.Time
-	run   func()
-	after func() // once run has returned
+	run   func(lost func()) // lost: it does not come back, another worker is wanted
+	after func()            // once run has returned
 }
 
 type pool struct {
@@ -25,10 +25,9 @@
 	ready   sync.Cond
 	lanes   *lanes.Lanes[job]
 	workers int
-	extra   int // workers beyond, for stuck ones
-	live    int
+	lost    int // workers that hang in a job that has been given up
+	live    int // the others
 	closed  bool
-	ended   sync.WaitGroup
 }
 
 func newPool(workers, room int) *pool {
@@ -38,15 +37,14 @@
 }
 
 // push adds a job; false: there is no room. Workers start with the first jobs.
-func (p *pool) push(lane string, until time.Time, run, after func()) bool {
+func (p *pool) push(lane string, until time.Time, run func(lost func()), after func()) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || !p.lanes.Push(lane, job{until, run, after}) {
 		return false
 	}
-	if p.live < p.workers+p.extra {
+	if p.live < p.workers {
 		p.live++
-		p.ended.Add(1)
 		go p.work()
 	} else {
 		p.ready.Signal()
@@ -55,41 +53,42 @@
 }
 
 func (p *pool) work() {
-	defer p.ended.Done()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
 		j, lane, ok := p.lanes.Next()
 		if !ok {
 			if p.closed {
+				p.live--
 				return
 			}
 			p.ready.Wait()
 			continue
 		}
+		gone := false // under mu
 		p.mu.Unlock()
-		j.run()
+		j.run(func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if gone || p.lost >= maxExtra || p.closed {
+				return
+			}
+			gone = true
+			p.lost++
+			p.lanes.Done(lane) // its lane goes on without it
+			go p.work()        // in its place
+		})
 		j.after()
 		p.mu.Lock()
+		if gone {
+			p.lost--
+			return
+		}
 		p.lanes.Done(lane)
 		p.ready.Signal() // another job of the lane may have waited for this one
 	}
 }
 
-// replace adds a worker for one that is stuck. The lane that the stuck one serves
-// keeps its place, so the others are what gains.
-func (p *pool) replace() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.extra < maxExtra && !p.closed {
-		p.extra++
-		p.lanes.Grow()
-		p.live++
-		p.ended.Add(1)
-		go p.work()
-	}
-}
-
 // load is how many jobs run and wait.
 func (p *pool) load() (running, waiting int) {
 	p.mu.Lock()
--- a/internal/hook/session.go
+++ b/internal/hook/session.go
@@ -22,6 +22,7 @@
 	host  *Host
 	set   *Set
 	most  time.Duration
+	stuck time.Duration
 	users atomic.Int64
 }
 
@@ -72,7 +73,7 @@
 func (s *session) Ask(v *hookabi.View, within time.Duration, done func(*hookabi.Result)) {
 	until := time.Now().Add(within)
 	s.users.Add(1)
-	taken := s.host.pool.push(v.Class, until, func() { s.run(v, until, done) }, s.leave)
+	taken := s.host.pool.push(v.Class, until, func(lost func()) { s.run(v, until, lost, done) }, s.leave)
 	if !taken {
 		s.users.Add(-1) // not the last: the query holds one
 		for _, h := range s.set.Hooks {
@@ -94,14 +95,14 @@
 }
 
 // run asks the hooks of a view's point in order, on the pool.
-func (s *session) run(v *hookabi.View, until time.Time, done func(*hookabi.Result)) {
+func (s *session) run(v *hookabi.View, until time.Time, lost func(), done func(*hookabi.Result)) {
 	merged, class, point := &hookabi.Result{}, v.Class, v.Point
 	for _, h := range s.set.Hooks {
 		// A hook that rewrote the class may have brought others in.
 		if !h.wants(point, v.Class) || h.unit.disabled.Load() {
 			continue
 		}
-		granted, f := s.one(h, v, until)
+		granted, f := s.one(h, v, until, lost)
 		if f != nil {
 			if h.OnFailure == "refuse" && point != hookabi.Ended {
 				granted = h.refusal()
@@ -138,7 +139,7 @@
 }
 
 // one asks one hook.
-func (s *session) one(h *Hook, v *hookabi.View, until time.Time) (*hookabi.Result, *Fault) {
+func (s *session) one(h *Hook, v *hookabi.View, until time.Time, lost func()) (*hookabi.Result, *Fault) {
 	left := time.Until(until)
 	if left <= 0 {
 		h.unit.missed(Short)
@@ -152,7 +153,7 @@
 	budget := min(h.Budget, left)
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
-	guard := time.AfterFunc(budget+stuckAfter, func() { s.host.stick(h) })
+	guard := time.AfterFunc(budget+s.stuck, func() { s.host.stick(h, lost) })
 	r, err := call(ctx, h, v)
 	guard.Stop()
 	cancel()
@@ -192,11 +193,11 @@
 
 // stick puts a hook out of use whose call does not end, and gives the pool a
 // worker for the one that is lost.
-func (h *Host) stick(k *Hook) {
-	why := "a call did not end " + stuckAfter.String() + " after its budget"
+func (h *Host) stick(k *Hook, lost func()) {
+	why := "a call did not end long after its budget"
 	k.unit.mu.Lock()
 	k.unit.stuck = why
 	k.unit.mu.Unlock()
 	log.Error("hook-stuck", "hook", k.Name, "err", why)
-	h.pool.replace()
+	lost()
 }
