--- a/internal/hook/engines_test.go
+++ b/internal/hook/engines_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"saddleport/internal/core/hookrule"
 	"saddleport/internal/hook"
 	"saddleport/internal/hook/starlark"
 	"saddleport/internal/hook/wasm"
@@ -251,6 +252,26 @@
 	require.ErrorContains(t, err, "overrun")
 }
 
+// Whatever the engine: what no hook may have is asked for and not granted.
+func TestClaims(t *testing.T) {
+	rules := hookrule.New(classes)
+	v := &hookabi.View{Point: hookabi.Taken, ID: "q", Class: "free-slots", Left: 100000, Part: -1}
+	for engine, p := range both(t) {
+		for _, text := range []string{"claim id", "claim value", "claim whole", "claim server", "claim resend", "claim answer", "claim status", "raise"} {
+			r, err := askFree(t, p, text)
+			require.NoError(t, err, engine)
+			_, err = rules.Check(v, r, "h")
+			var refused *hookrule.Refused
+			require.ErrorAs(t, err, &refused, "%s: %s", engine, text)
+		}
+		r, err := askFree(t, p, "refuse closed")
+		require.NoError(t, err)
+		granted, err := rules.Check(v, r, "h")
+		require.NoError(t, err)
+		require.Equal(t, "closed", granted.Reason)
+	}
+}
+
 // What hooks are given is all there is.
 func TestNothingElse(t *testing.T) {
 	programs := both(t)
