Route parts by a map of segments where an installation has a feed

Segments split, merge and move while queries run. internal/exchange/segments.go lays a query's parts out by the map, sends what a server does not hold again as a leg of its own, and merges values under the names the client used; internal/source/segments watches the feed and refuses what can't be.

--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -40,6 +40,9 @@
 	HookShort   atomic.Int64 // points at which no time was left to ask
 	HookRefused atomic.Int64 // queries refused or failed on a hook's word, or for want of it
 	HookDrops   atomic.Int64 // parts that hooks dropped
+
+	Moved    atomic.Int64 // attempts turned away by servers that do not hold them now
+	Unrouted atomic.Int64 // queries that the map of segments could not route
 }
 
 var endings = [5]string{"answered", "refused", "failed", "expired", "gone"}
@@ -82,5 +85,7 @@
 	put("hook_short", &c.HookShort)
 	put("hook_refused", &c.HookRefused)
 	put("hook_drops", &c.HookDrops)
+	put("moved", &c.Moved)
+	put("unrouted", &c.Unrouted)
 	return strings.TrimSpace(b.String())
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"saddleport/choice"
+	"saddleport/internal/core/hookrule"
+	"saddleport/internal/core/placement"
 	"saddleport/internal/logs"
 	"saddleport/internal/settings"
 	"saddleport/sdk/hookabi"
@@ -44,6 +46,7 @@
 	Key    string
 	Hinted bool
 	Cost   choice.Micros
+	Range  placement.Range // where segments are routed by a map: the keys wanted; zero: all
 }
 
 // Ending says how a query ended.
@@ -72,6 +75,10 @@
 type Hit struct {
 	Shard int
 	Value string
+	// Where segments are routed by a map: the shards whose hits hold more of this
+	// one, and the keys that are in where not all are.
+	In     []int
+	Covers []placement.Range
 }
 
 // Attempt is one attempt of a part. All but the unexported fields are fixed
@@ -91,6 +98,7 @@
 	ended  bool
 	giving bool // given up: the client side will end it
 
+	withheld bool // the decisions have not been told that it never ran
 	asking   bool // hooks are being asked; the client side does not have it
 	handed   bool // the client side has had it
 	neverRan bool // it has ended, and never ran
@@ -112,13 +120,25 @@
 
 type part struct {
 	Part
-	id       string
+	id       string // the decisions' name for it
+	wire     string // the leaf servers'
 	q        *held
 	attempts []*Attempt
 	out      int
 	served   bool
 	dropped  bool // a hook does not want it
 	value    string
+
+	// Where segments are routed by a map.
+	target   *placement.Target
+	from     *part    // it replaced that one
+	legs     []string // in which what replaced it went out
+	replaced bool
+	away     bool // a server did not hold it: not sent under this name any more
+	turns    int  // times that it, or what it replaced, was turned away
+	prior    int  // attempts of what it replaced
+	wanted   int64
+	alarm    *timer
 }
 
 type held struct {
@@ -129,6 +149,7 @@
 	alarm    *timer
 	ended    bool
 	watched  *watched // nil: no hook watches it
+	placed   *placed  // nil: it is not routed by a map
 }
 
 type timer struct {
@@ -167,6 +188,7 @@
 	hooks  Hooks // nil: there are none
 	// Tags that hooks give go to leaf servers too.
 	forwardTags bool
+	segments    *segments // nil: shards are what the settings say
 	start       time.Time
 	origin      choice.Micros
 
@@ -354,11 +376,14 @@
 		return
 	}
 	h := &held{Query: q, class: q.Class, deadline: q.TakenAt.Add(q.Patience)}
+	if err := x.lay(h); err != nil {
+		x.Counters.Unrouted.Add(1)
+		x.final(q, Final{Ending: Refused, RetryAfter: x.advice(q.Class), Reason: err.Error()})
+		return
+	}
 	x.queries[q.ID] = h
-	for _, p := range q.Parts {
-		mine := &part{Part: p, id: partID(q, p), q: h}
-		h.parts = append(h.parts, mine)
-		x.parts[mine.id] = mine
+	for _, p := range h.parts {
+		x.parts[p.id] = p
 	}
 	x.guard(h)
 	if x.hooks != nil {
@@ -382,7 +407,7 @@
 	x.numbers++
 	ev := choice.Query{ID: q.ID, Class: h.class, Number: x.numbers, Key: q.Key, Tenant: q.Tenant,
 		Grace:  max(time.Until(h.deadline).Microseconds(), 0),
-		Repeat: q.Repeat, Parts: len(q.Parts), Hinted: true}
+		Repeat: q.Repeat, Parts: len(h.parts), Hinted: true}
 	// Where hooks dropped so much that the rest can't be whole, the decisions are to
 	// want all of the rest; how the answer is marked is looked at again at its end.
 	scale := 1.0
@@ -401,7 +426,7 @@
 		ev.Hinted = ev.Hinted && p.Hinted
 		ev.Predicted += p.Cost
 		x.events = append(x.events, choice.Part{ID: p.id, Class: h.class, Number: ev.Number, Key: p.Key,
-			Shard: p.Shard, Weight: p.Weight * scale, Hinted: p.Hinted, Predicted: p.Cost})
+			Shard: p.place(), Weight: p.Weight * scale, Hinted: p.Hinted, Predicted: p.Cost})
 	}
 	if !ev.Hinted {
 		ev.Predicted = 0
@@ -418,6 +443,10 @@
 	if h.ended {
 		return
 	}
+	if class := x.class(h.class); h.placed != nil && h.watched == nil && class.Floor < class.Need && hookrule.Enough(class, h.share()) {
+		x.answer(h, false) // what was parked did not come in time
+		return
+	}
 	log.Error("overdue", "id", h.ID, "class", h.Class)
 	x.Counters.Overdue.Add(1)
 	x.end(h, Final{Ending: Expired})
@@ -444,23 +473,23 @@
 			x.giveUp(p.attempts[a.Attempt], choice.CalledOff)
 		}
 	case choice.Answer:
-		if h := x.queries[a.ID]; h != nil && h.watched != nil {
+		if h := x.queries[a.ID]; h != nil && h.placed != nil {
+			x.legOver(h, a.ID, 0)
+		} else if h != nil && h.watched != nil {
 			x.decide(h, a.Whole)
 		} else if h != nil {
-			final := Final{Ending: Answered, Whole: a.Whole}
-			for _, p := range h.parts {
-				if p.served {
-					final.Hits = append(final.Hits, Hit{p.Shard, p.value})
-				}
-			}
-			x.end(h, final)
+			x.end(h, Final{Ending: Answered, Whole: a.Whole, Hits: h.hits()})
 		}
 	case choice.Refuse:
-		if h := x.queries[a.ID]; h != nil {
+		if h := x.queries[a.ID]; h != nil && h.placed != nil {
+			x.legOver(h, a.ID, time.Duration(a.RetryAfter)*time.Microsecond)
+		} else if h != nil {
 			x.end(h, Final{Ending: Refused, RetryAfter: time.Duration(a.RetryAfter) * time.Microsecond})
 		}
 	case choice.Fail:
-		if h := x.queries[a.ID]; h != nil {
+		if h := x.queries[a.ID]; h != nil && h.placed != nil {
+			x.legOver(h, a.ID, 0)
+		} else if h != nil {
 			x.end(h, Final{Ending: Failed})
 		}
 	case choice.Wake:
@@ -491,7 +520,7 @@
 	if p == nil {
 		return
 	}
-	a := &Attempt{PartID: p.id, Server: s.Server, Index: len(p.attempts), Shard: p.Shard, Text: p.q.Text,
+	a := &Attempt{PartID: p.wire, Server: s.Server, Index: len(p.attempts), Shard: p.Shard, Text: p.q.Text,
 		sentAt: now, part: p}
 	p.attempts = append(p.attempts, a)
 	p.out++
@@ -503,7 +532,7 @@
 	hooked := p.q.watched != nil && p.q.watched.Wants(hookabi.Send, p.q.class)
 	// Never out: the query has ended, its time has run out, an attempt is still
 	// out, or the part has had all its attempts.
-	if p.q.ended || p.dropped || left <= 0 || len(p.attempts) > x.set.Router.AttemptCap ||
+	if p.q.ended || p.dropped || p.away || left <= 0 || p.prior+len(p.attempts) > x.set.Router.AttemptCap ||
 		p.out > 1 && !x.set.Router.ParallelTries {
 		x.Counters.Unsent.Add(1)
 		x.Ended(a, choice.NotSent, nil, "")
@@ -514,8 +543,8 @@
 		x.askSend(a)
 		return
 	}
-	if p.q.watched != nil {
-		a.Extra = x.extra(p.q)
+	if p.q.watched != nil || p.target != nil {
+		a.Extra = x.names(p) + x.extra(p.q)
 	}
 	a.handed = true
 	x.Counters.Sent.Add(1)
@@ -533,6 +562,10 @@
 // giveUp stops waiting for an attempt. Its outcome comes once the client side
 // has told the leaf server, so that no further attempt goes out before that.
 func (x *Exchange) giveUp(a *Attempt, v choice.Verdict) {
+	if a.withheld {
+		x.release(a)
+		return
+	}
 	if !a.ended && !a.giving {
 		a.giving = true
 		if a.asking { // nobody has it yet, and nobody will
@@ -556,11 +589,22 @@
 	if v == choice.Served && !p.q.ended {
 		p.served, p.value = true, value
 	}
+	if epoch, away := moved(p, v, load); away && !p.q.ended {
+		x.turned(a, epoch)
+		if a.withheld {
+			x.forget(p)
+			return
+		}
+		v = choice.NotSent // no sign of a server that is busy
+	}
 	x.events = append(x.events, choice.Outcome{ID: p.id, Server: a.Server, Delay: time.Since(a.sentAt).Microseconds(),
 		Closed: p.served || p.q.ended, Attempt: a.Index, Verdict: v, Load: load})
 	if p.q.watched != nil && v == choice.Served && !p.q.ended {
 		x.askAnswered(p)
 	}
+	if p.q.placed != nil && v == choice.Served && !p.q.ended {
+		x.settle(p.q)
+	}
 	x.forget(p)
 }
 
@@ -576,6 +620,9 @@
 	for _, p := range h.parts {
 		x.forget(p)
 	}
+	if h.placed != nil {
+		x.closeLegs(h)
+	}
 	if h.watched != nil {
 		f.Notes = h.watched.notes
 	}
--- a/internal/exchange/hooks.go
+++ b/internal/exchange/hooks.go
@@ -207,6 +207,9 @@
 
 // withdraw tells the decisions that a query of theirs has ended without them.
 func (x *Exchange) withdraw(h *held) {
+	if h.placed != nil { // its legs are closed with it
+		return
+	}
 	if h.watched == nil || h.watched.admitted && !h.watched.decided {
 		x.events = append(x.events, choice.ClientLeft{ID: h.ID})
 	}
@@ -241,7 +244,7 @@
 			return
 		}
 		// What the hooks took is not the server's doing.
-		a.sentAt, a.Extra, a.handed = now, x.extra(h), true
+		a.sentAt, a.Extra, a.handed = now, x.names(p)+x.extra(h), true
 		x.Counters.Sent.Add(1)
 		x.sends = append(x.sends, a)
 		x.flush()
@@ -306,12 +309,7 @@
 func (x *Exchange) conclude(h *held) {
 	k, class := h.watched, x.class(h.class)
 	f, share := *k.answer, 0.0
-	for _, p := range h.parts {
-		if p.served && !p.dropped {
-			f.Hits = append(f.Hits, Hit{p.Shard, p.value})
-			share += p.Weight
-		}
-	}
+	f.Hits, share = h.hits(), h.share()
 	if k.gone > 0 { // the decisions' mark did not know of that
 		f.Whole = f.Whole && hookrule.Whole(class, share)
 		if !hookrule.Enough(class, share) {
@@ -332,11 +330,7 @@
 	}
 	v := x.view(h, hookabi.Ended, nil, 0)
 	v.Ending, v.Whole = endings[f.Ending], f.Whole
-	for _, p := range h.parts {
-		if p.served && !p.dropped {
-			v.Share += p.Weight
-		}
-	}
+	v.Share = h.share()
 	k.End(v)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/tidwall/gjson"
 
 	"saddleport/choice"
+	"saddleport/internal/core/placement"
 	"saddleport/internal/exchange"
 	"saddleport/internal/httpwire"
 	"saddleport/internal/logs"
@@ -46,9 +47,10 @@
 // Config is what the server side is told at its start.
 type Config struct {
 	Exchange   *exchange.Exchange
-	MaxClients int // connections at once
-	Keep       int // beyond so many, one at rest ends for each that comes or comes to rest; 0: none does
-	Shards     int // 0: not told
+	MaxClients int  // connections at once
+	Keep       int  // beyond so many, one at rest ends for each that comes or comes to rest; 0: none does
+	Shards     int  // 0: not told
+	Segments   bool // shards are segments of a map, and parts may name ranges of keys
 	Classes    map[string]bool
 	Pace       Pace
 }
@@ -409,6 +411,22 @@
 			body = strconv.AppendInt(body, int64(h.Shard), 10)
 			body = append(body, `,"doc":`...)
 			body = gjson.AppendJSONString(body, h.Value)
+			for j, shard := range h.In {
+				body = append(body, []string{`,"in":[`, ","}[min(j, 1)]...)
+				body = strconv.AppendInt(body, int64(shard), 10)
+			}
+			if len(h.In) > 0 {
+				body = append(body, ']')
+			}
+			for j, r := range h.Covers {
+				body = append(body, []string{`,"covers":[`, ","}[min(j, 1)]...)
+				body = gjson.AppendJSONString(append(body, `{"from":`...), r.From)
+				body = gjson.AppendJSONString(append(body, `,"to":`...), r.To)
+				body = append(body, '}')
+			}
+			if len(h.Covers) > 0 {
+				body = append(body, ']')
+			}
 			body = append(body, '}')
 		}
 		body = append(body, "]}"...)
@@ -471,6 +489,15 @@
 		}
 		sum += weight.Num
 		p := exchange.Part{Shard: int(n), Weight: weight.Num, Key: e.Get("key").String()}
+		if f.Segments {
+			p.Range = placement.Range{From: e.Get("from").String(), To: e.Get("to").String()}
+			if p.Key != "" && p.Range == (placement.Range{}) { // one key: from it to the next one that could be
+				p.Range = placement.Range{From: p.Key, To: p.Key + "\x00"}
+			}
+			if len(p.Range.From) > placement.MaxKey || len(p.Range.To) > placement.MaxKey {
+				return nil, errors.New("key: more than 128 bytes")
+			}
+		}
 		if cost.Type == gjson.Number && cost.Num >= 0 && cost.Num < float64(maxPatience.Microseconds()) {
 			p.Hinted, p.Cost = true, choice.Micros(cost.Num)
 		}
