Reshape segments under load in the rig: cells that hold keys, a coordinator, a judge by key

The argument for at most once across a move needs to be seen on real sockets. internal/lab/reshape has cells (core/placement's owners), a coordinator that splits, merges, moves, aborts and dies, and a late feed; the judge follows each key.

--- a/cmd/saddlelab/main.go
+++ b/cmd/saddlelab/main.go
@@ -112,7 +112,7 @@
 			return err
 		}
 	}
-	main, err := drill.Play(ctx, d, opt, d.Hooked())
+	main, err := drill.Play(ctx, d, opt, d.Hooked() || d.Reshape.Segments > 0)
 	if err != nil {
 		return err
 	}
--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -46,6 +46,7 @@
 					}},
 			}},
 			hooks(config, operator, asJSON),
+			segments(operator, asJSON),
 			{Name: "counters", Usage: "print what the mixer that runs on this configuration has counted", Flags: []cli.Flag{config},
 				Action: func(_ context.Context, c *cli.Command) error {
 					cfg, err := app.Load(c.String("config"), os.Getenv)
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -4,8 +4,11 @@
 // subsystem adds its own by a line in Operator, one in sections and one in apply.
 
 import (
+	"errors"
 	"fmt"
 	"math"
+	"net"
+	"net/url"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -17,14 +20,16 @@
 	"saddleport/internal/hook/wasm"
 	"saddleport/internal/logs"
 	"saddleport/internal/operator"
+	"saddleport/internal/source/segments"
 )
 
 // Operator is what the operator file says.
 type Operator struct {
-	File    *operator.File
-	Log     logs.Settings
-	Hooks   hook.Settings
-	Control control.Settings
+	File     *operator.File
+	Log      logs.Settings
+	Hooks    hook.Settings
+	Control  control.Settings
+	Segments segments.Settings
 }
 
 func (o *Operator) sections() []operator.Section {
@@ -32,9 +37,19 @@
 		{Name: "log", Help: "what is logged", Into: &o.Log},
 		{Name: "control", Help: "where operators speak to the mixer", Into: &o.Control},
 		{Name: "hooks", Help: "hooks of one's own", Into: &o.Hooks, Check: o.Hooks.Check},
+		{Name: "segments", Help: "segments that split, merge and move", Into: &o.Segments, Check: o.checkSegments},
 	}
 }
 
+func (o *Operator) checkSegments() error {
+	if o.Segments.Feed != "" {
+		if _, _, err := net.SplitHostPort(o.Segments.Feed); err != nil {
+			return &operator.KeyError{Key: "feed", Problem: fmt.Sprintf("%q is not an address", o.Segments.Feed)}
+		}
+	}
+	return nil
+}
+
 // LoadOperator reads the operator file; an empty path means that there is none.
 // Paths in it that are not absolute count from its folder.
 func LoadOperator(path string) (*Operator, error) {
@@ -102,6 +117,16 @@
 			return nil, err
 		}
 		return m.host.Report(), nil
+	case len(words) >= 2 && words[0] == "segments" && m.feed == nil:
+		return nil, errors.New("this mixer has no placement feed: [segments] feed names none")
+	case line == "segments show":
+		return m.feed.Report(1000), nil
+	case len(words) == 3 && words[0] == "segments" && words[1] == "explain":
+		key, err := url.QueryUnescape(words[2])
+		if err != nil {
+			return nil, err
+		}
+		return m.feed.Explain(key)
 	case line == "counters":
 		return m.x.Counters.String(), nil
 	}
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -4,6 +4,7 @@
 package app
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
@@ -25,6 +26,7 @@
 	"saddleport/internal/front"
 	"saddleport/internal/hook"
 	"saddleport/internal/logs"
+	"saddleport/internal/source/segments"
 )
 
 const (
@@ -66,7 +68,8 @@
 	cfg  *Config
 	x    *exchange.Exchange
 	back *back.Back
-	host *hook.Host // nil without an operator file
+	host *hook.Host     // nil without an operator file
+	feed *segments.Feed // nil: shards are what the settings say
 
 	mu sync.Mutex // commands come beside signals
 	op *Operator
@@ -153,6 +156,17 @@
 		}
 	}
 	m.apply(op)
+	if op.Segments.Feed != "" {
+		if w := cfg.settings.Router.Width; w > 1 {
+			return fmt.Errorf("[segments] feed: a shard is held by %d cells, and segments are held by one", w)
+		}
+		m.feed = segments.New(op.Segments, x)
+		x.SetSegments(m.feed, op.Segments.Most)
+		feeding, end := context.WithCancel(context.Background())
+		fed := make(chan struct{})
+		go func() { m.feed.Run(feeding); close(fed) }()
+		defer func() { end(); <-fed }()
+	}
 	if op.Control.Socket != "" {
 		c, err := control.Listen(op.Control.Socket, m.command)
 		if err != nil {
@@ -165,7 +179,10 @@
 		classes[c.Name] = true
 	}
 	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves, Keep: cfg.sockets / keepShare,
-		Shards: cfg.settings.Router.Shards, Classes: classes, Pace: cfg.pace})
+		Shards: cfg.settings.Router.Shards, Classes: classes, Pace: cfg.pace, Segments: m.feed != nil})
+	if m.feed != nil { // segments are numbered as the map says
+		f.Shards = 0
+	}
 	stop := make(chan struct{})
 	b.Apply(cfg.known, cfg.addrs)
 	go x.Run(b, stop)
--- a/internal/lab/desk/desk.go
+++ b/internal/lab/desk/desk.go
@@ -14,11 +14,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
 
+	"saddleport/internal/core/placement"
 	"saddleport/internal/lab/judge"
 )
 
@@ -29,6 +31,7 @@
 	Parts    int     // of each query
 	Patience time.Duration
 	Text     string
+	Books    bool // where there is a map: one key, which others book too
 }
 
 // Config is what the desks are told.
@@ -39,22 +42,27 @@
 	Judge  *judge.Judge
 	Conns  int           // at once, at most
 	Again  time.Duration // wait for an answer beyond the patience
+	// Map, if set, is the map of segments that a desk knows, and Keys all keys.
+	Map  func() *placement.Map
+	Keys []string
 }
 
 // Desks are all desks of a drill.
 type Desks struct {
 	Config
 	mu    sync.Mutex
-	idle  []*conn
+	idle  map[string][]*conn // by the mixer's address
 	conns int
+	order []int // of the keys that are booked
 	out   sync.WaitGroup
 }
 
 type conn struct {
-	nc  net.Conn
-	r   *bufio.Reader
-	old bool // has carried a query
-	end bool // the mixer said that it ends
+	nc   net.Conn
+	addr string
+	r    *bufio.Reader
+	old  bool // has carried a query
+	end  bool // the mixer said that it ends
 }
 
 // New returns desks without load.
@@ -62,7 +70,7 @@
 	if c.Again <= 0 {
 		c.Again = 2 * time.Second
 	}
-	return &Desks{Config: c}
+	return &Desks{Config: c, idle: make(map[string][]*conn), order: rand.New(rand.NewPCG(c.Seed, 5)).Perm(len(c.Keys))}
 }
 
 // Run sends a class's load until ctx is done, and returns once all is answered.
@@ -80,6 +88,9 @@
 			return
 		case <-time.After(time.Until(due)):
 		}
+		if d.Map != nil {
+			d.byMap(class, q, n)
+		}
 		d.out.Add(1)
 		d.Judge.Sent(q)
 		go func() {
@@ -100,12 +111,41 @@
 
 func (d *Desks) query(class Class, n int, due time.Time, r *rand.Rand) *judge.Query {
 	q := &judge.Query{ID: fmt.Sprintf("%016x", hash(class.Name)^r.Uint64()), Class: class.Name, Due: due, Patience: class.Patience}
+	if d.Map != nil {
+		return q // its parts hang on the map of the moment
+	}
 	for _, shard := range r.Perm(d.Shards)[:min(class.Parts, d.Shards)] {
 		q.Parts = append(q.Parts, judge.Part{Shard: shard, Weight: 1 / float64(min(class.Parts, d.Shards))})
 	}
 	return q
 }
 
+// byMap names a query's parts by the map that the desk knows: segments side by side,
+// or the one that holds a key.
+func (d *Desks) byMap(class Class, q *judge.Query, n int) {
+	m := d.Map()
+	segs := m.Segments()
+	r := rand.New(rand.NewPCG(d.Seed, hash(q.ID)))
+	if class.Books {
+		// Bookings roll forward over the keys, drawn in no order; each key is booked three
+		// times or so within a moment, as by desks that ask again.
+		key := d.Keys[d.order[(n/3+r.IntN(20))%len(d.Keys)]]
+		if s, ok := m.Lookup(key); ok {
+			q.Parts = []judge.Part{{Shard: int(s.ID), Weight: 1, Keys: []string{key}}}
+		}
+		return
+	}
+	parts := min(class.Parts, len(segs))
+	first := r.IntN(len(segs) - parts + 1)
+	for _, s := range segs[first : first+parts] {
+		p := judge.Part{Shard: int(s.ID), Weight: 1 / float64(parts), Keys: []string{}}
+		for i := sort.SearchStrings(d.Keys, s.From); i < len(d.Keys) && s.Holds(d.Keys[i]); i++ {
+			p.Keys = append(p.Keys, d.Keys[i])
+		}
+		q.Parts = append(q.Parts, p)
+	}
+}
+
 // send sends a query and takes its answer. A connection that broke before a byte
 // of the answer came, and that had carried others, may have crossed its end: the
 // platform's clients send once more.
@@ -133,29 +173,30 @@
 }
 
 func (d *Desks) conn(fresh bool) (*conn, error) {
+	addr := d.Addr()
 	d.mu.Lock()
-	for !fresh && len(d.idle) > 0 {
-		c := d.idle[len(d.idle)-1]
-		d.idle = d.idle[:len(d.idle)-1]
+	if idle := d.idle[addr]; !fresh && len(idle) > 0 {
+		c := idle[len(idle)-1]
+		d.idle[addr] = idle[:len(idle)-1]
 		d.mu.Unlock()
 		return c, nil
 	}
 	d.conns++
 	d.mu.Unlock()
-	nc, err := net.DialTimeout("tcp", d.Addr(), 2*time.Second)
+	nc, err := net.DialTimeout("tcp", addr, 2*time.Second)
 	if err != nil {
 		d.mu.Lock()
 		d.conns--
 		d.mu.Unlock()
 		return nil, err
 	}
-	return &conn{nc: nc, r: bufio.NewReader(nc)}, nil
+	return &conn{nc: nc, addr: addr, r: bufio.NewReader(nc)}, nil
 }
 
 func (d *Desks) keep(c *conn) {
 	d.mu.Lock()
-	if len(d.idle) < d.Conns && !c.end {
-		d.idle = append(d.idle, c)
+	if len(d.idle[c.addr]) < d.Conns && !c.end {
+		d.idle[c.addr] = append(d.idle[c.addr], c)
 		d.mu.Unlock()
 		return
 	}
@@ -175,13 +216,15 @@
 func (d *Desks) Close() (unasked int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, c := range d.idle {
-		if stray(c) {
-			unasked++
+	for _, idle := range d.idle {
+		for _, c := range idle {
+			if stray(c) {
+				unasked++
+			}
+			c.nc.Close()
 		}
-		c.nc.Close()
 	}
-	d.idle = nil
+	clear(d.idle)
 	return unasked
 }
 
@@ -201,7 +244,11 @@
 		if i > 0 {
 			body = append(body, ',')
 		}
-		body = fmt.Appendf(body, `{"shard":%d,"weight":%.9f}`, p.Shard, p.Weight)
+		body = fmt.Appendf(body, `{"shard":%d,"weight":%.9f`, p.Shard, p.Weight)
+		if class.Books && len(p.Keys) == 1 {
+			body = fmt.Appendf(body, `,"key":%q`, p.Keys[0])
+		}
+		body = append(body, '}')
 	}
 	body = fmt.Appendf(body, `],"q":%q}`, class.Text)
 	var b bytes.Buffer
@@ -241,7 +288,8 @@
 		doc := gjson.ParseBytes(text)
 		q.Whole = doc.Get("complete").Bool()
 		for _, h := range doc.Get("hits").Array() {
-			q.Hits = append(q.Hits, judge.Hit{Shard: int(h.Get("shard").Int()), Value: h.Get("doc").String()})
+			q.Hits = append(q.Hits, judge.Hit{Shard: int(h.Get("shard").Int()), Value: h.Get("doc").String(),
+				In: h.Get("in").Exists(), Cut: h.Get("covers").Exists()})
 		}
 	case 429, 503:
 		q.Outcome = judge.Refused
--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -26,11 +26,26 @@
 
 // Mixer is the section [mixer]: what the platform tells it.
 type Mixer struct {
+	Count   int           `ini:"count" default:"1" range:"1..16" help:"mixers; desks ask any of them. Hooks are watched on the first"`
 	Cores   float64       `ini:"cores" default:"1" range:"0.05..64"`
 	Memory  inifile.Bytes `ini:"memory" default:"192MiB" range:"16MiB..16GiB" help:"its limit, and what it may hold at most in the drill"`
 	Sockets int           `ini:"sockets" default:"1024" range:"64..65536"`
 }
 
+// Reshape is the section [reshape]: segments that split, merge and move.
+type Reshape struct {
+	Segments int           `ini:"segments" default:"0" range:"0..100000" help:"at the start; 0: the shards of [fleet], which stay"`
+	PerSeg   int           `ini:"keys-per-segment" default:"8" range:"1..10000"`
+	Every    time.Duration `ini:"every" default:"2s" range:"0s..1h" help:"between reshapes; 0s: none"`
+	Step     time.Duration `ini:"step" default:"20ms" range:"0s..1m" help:"that one step of a reshape takes"`
+	Lag      time.Duration `ini:"lag" default:"500ms" range:"0s..1m" help:"of the feed"`
+	Behind   int           `ini:"desks-behind" default:"3" range:"0..200" help:"epochs that the desks' map is old"`
+	Abort    float64       `ini:"abort" default:"0.1" range:"0..1" help:"share of reshapes that are taken back"`
+	Die      float64       `ini:"die" default:"0.05" range:"0..1" help:"share of steps at which the coordinator dies"`
+	Away     time.Duration `ini:"away" default:"300ms" range:"0s..1m" help:"until it comes back"`
+	Fence    bool          `ini:"fence" default:"yes" help:"no: leaf servers book on when they are to be fenced; the judge must find it"`
+}
+
 // Fleet is the section [fleet]: the stand-in leaf servers.
 type Fleet struct {
 	Cells    int           `ini:"cells" default:"4" range:"1..64" help:"shard s is held by cell s modulo cells"`
@@ -49,6 +64,7 @@
 	Parts       int           `ini:"parts" default:"4" range:"1..4096"`
 	Patience    time.Duration `ini:"patience" default:"4s" range:"10ms..1m"`
 	Aim         time.Duration `ini:"aim" default:"1500ms" range:"1ms..1m"`
+	Books       bool          `ini:"books" default:"no" help:"with [reshape]: books one key; text must begin with book"`
 	Effect      string        `ini:"effect" default:"free" oneof:"free guarded single_shot"`
 	Need        float64       `ini:"need" default:"1" range:"0.01..1"`
 	Floor       float64       `ini:"floor" default:"1" range:"0.01..1"`
@@ -78,6 +94,8 @@
 	Kinds       []string      `ini:"fault-kinds" oneof:"overrun memory thrown garbage forbidden busy short quarantined" help:"kinds that must be among them"`
 	SwapsLeast  int           `ini:"swaps-least" default:"0" range:"0..1000" help:"sets that must have been put in force"`
 	OpenedLeast int           `ini:"opened-least" default:"0" range:"0..1000" help:"breakers that must have opened"`
+	Reshapes    int           `ini:"reshapes-least" default:"0" range:"0..100000" help:"reshapes that must have come to their end"`
+	AnswerLeast float64       `ini:"answered-least" default:"0" range:"0..1" help:"share of each class that must be answered"`
 	CallsLeast  int           `ini:"calls-least" default:"0" range:"0..100000000" help:"calls of hooks"`
 }
 
@@ -87,6 +105,7 @@
 	Main
 	Mixer   Mixer
 	Fleet   Fleet
+	Reshape Reshape
 	Hooks   hook.Settings // Dir: the set at the start
 	Classes []Class
 	Steps   []Step // in order of time
@@ -115,6 +134,7 @@
 	d := &Drill{File: file}
 	inifile.Default(&d.Mixer)
 	inifile.Default(&d.Fleet)
+	inifile.Default(&d.Reshape)
 	inifile.Default(&d.Hooks)
 	inifile.Default(&d.Expect)
 	about := false
@@ -131,6 +151,8 @@
 			err = s.Decode(&d.Fleet)
 		case "hooks":
 			err = s.Decode(&d.Hooks)
+		case "reshape":
+			err = s.Decode(&d.Reshape)
 		case "expect":
 			err = s.Decode(&d.Expect)
 		default:
@@ -149,7 +171,7 @@
 				}
 				d.Steps = append(d.Steps, p)
 			default:
-				err = s.Fault("", "no such section; there are: drill, mixer, fleet, hooks, expect, class NAME, step NAME")
+				err = s.Fault("", "no such section; there are: drill, mixer, fleet, hooks, reshape, expect, class NAME, step NAME")
 			}
 		}
 		if err != nil {
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -14,16 +14,20 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"saddleport/internal/control"
+	"saddleport/internal/core/placement"
 	"saddleport/internal/hook"
 	"saddleport/internal/inifile"
 	"saddleport/internal/lab/desk"
 	"saddleport/internal/lab/disco"
 	"saddleport/internal/lab/judge"
 	"saddleport/internal/lab/leaf"
+	"saddleport/internal/lab/reshape"
+	"saddleport/internal/source/segments"
 )
 
 const (
@@ -64,10 +68,19 @@
 	Calls    int64
 	Opened   int
 	Unasked  int
-	Broken   []string // what else went wrong
+	Reshapes map[string]int `json:",omitempty"`
+	Broken   []string       // what else went wrong
 	Log      string
 }
 
+// mixer is one child process.
+type mixer struct {
+	cmd    *exec.Cmd
+	listen string
+	exited chan error
+	log    string
+}
+
 type run struct {
 	d      *Drill
 	opt    Options
@@ -78,9 +91,8 @@
 	disco  *disco.Server
 	leaves map[string]*leaf.Server
 	addrs  map[string]string
-	cmd    *exec.Cmd
-	listen string
-	exited chan error
+	world  *reshape.World
+	mixers []*mixer
 
 	mu       sync.Mutex
 	broken   []string
@@ -98,7 +110,12 @@
 // Play plays a drill once, with its hooks or without.
 func Play(ctx context.Context, d *Drill, opt Options, hooks bool) (*Run, error) {
 	name := "with hooks"
-	if !hooks {
+	switch {
+	case d.Reshape.Segments > 0 && hooks:
+		name = "reshaping"
+	case d.Reshape.Segments > 0:
+		name = "at rest"
+	case !hooks:
 		name = "without hooks"
 	}
 	dir := opt.Out
@@ -116,15 +133,21 @@
 	}
 	defer os.RemoveAll(work)
 	r := &run{d: d, opt: opt, name: name, hooks: hooks, dir: work, leaves: make(map[string]*leaf.Server), addrs: make(map[string]string),
-		exited: make(chan error, 1), faults: make(map[hook.Kind]int64), opened: make(map[string]int), calls: make(map[string]int64),
+		faults: make(map[hook.Kind]int64), opened: make(map[string]int), calls: make(map[string]int64),
 		perSet: make(map[string]map[hook.Kind]int64)}
 	defer r.close()
 	if err := r.standIns(); err != nil {
 		return nil, err
 	}
 	logFile := filepath.Join(dir, strings.ReplaceAll(name, " ", "-")+".log")
-	if err := r.start(logFile); err != nil {
-		return nil, err
+	for i := range d.Mixer.Count {
+		file := logFile
+		if i > 0 {
+			file = strings.TrimSuffix(logFile, ".log") + fmt.Sprintf("-%d.log", i)
+		}
+		if err := r.start(i, file); err != nil {
+			return nil, err
+		}
 	}
 	return r.load(ctx, logFile)
 }
@@ -136,9 +159,26 @@
 		classes = append(classes, judge.Class{Name: c.Name, Unsafe: c.Effect != "free", Need: c.Need, Floor: c.Floor})
 	}
 	r.j = judge.New(classes, grace)
+	if d.Reshape.Segments > 0 {
+		c := d.Reshape
+		cells := make(map[int][]string)
+		for _, name := range d.Servers() {
+			cell, _ := strconv.Atoi(strings.Split(name, "-")[1])
+			cells[cell] = append(cells[cell], name)
+		}
+		every := c.Every
+		if !r.hooks { // the load beside which the reshapes are seen
+			every = 0
+		}
+		var err error
+		if r.world, err = reshape.New(reshape.Config{Cells: cells, Segments: c.Segments, PerSeg: c.PerSeg, Every: every, Step: c.Step, Lag: c.Lag,
+			Abort: c.Abort, Die: c.Die, Away: c.Away, NoFence: !c.Fence, Seed: uint64(d.Seed), Judge: r.j}); err != nil {
+			return err
+		}
+	}
 	var entries []disco.Entry
 	for i, name := range d.Servers() {
-		s, err := leaf.Listen(name, "", r.model(i), r.j)
+		s, err := leaf.Listen(name, "", r.model(i, name), r.j)
 		if err != nil {
 			return err
 		}
@@ -158,9 +198,14 @@
 	return nil
 }
 
-func (r *run) model(i int) leaf.Model {
+func (r *run) model(i int, name string) leaf.Model {
 	f := r.d.Fleet
-	return leaf.Model{Cores: f.Cores, Room: f.Room, Median: f.Median, Sigma: f.Sigma, Seed: uint64(r.d.Seed)<<16 + uint64(i)}
+	var keeper leaf.Keeper
+	if r.world != nil {
+		cell, _ := strconv.Atoi(strings.Split(name, "-")[1])
+		keeper = &reshape.Keeper{W: r.world, Cell: cell}
+	}
+	return leaf.Model{Keeper: keeper, Cores: f.Cores, Room: f.Room, Median: f.Median, Sigma: f.Sigma, Seed: uint64(r.d.Seed)<<16 + uint64(i)}
 }
 
 func (r *run) entry(name, status string) disco.Entry {
@@ -169,13 +214,14 @@
 }
 
 // start writes the two files and starts the program.
-func (r *run) start(logFile string) error {
+func (r *run) start(n int, logFile string) error {
 	d := r.d
 	port, err := freePort()
 	if err != nil {
 		return err
 	}
-	r.listen = fmt.Sprintf("127.0.0.1:%d", port)
+	x := &mixer{exited: make(chan error, 1), log: logFile}
+	x.listen = fmt.Sprintf("127.0.0.1:%d", port)
 	list := func(f func(Class) any) []any {
 		var out []any
 		for _, c := range d.Classes {
@@ -184,10 +230,10 @@
 		return out
 	}
 	config := map[string]any{
-		"name": "lab", "listen": r.listen, "discovery": r.disco.Addr, "seed": fmt.Sprintf("%016x", d.Seed+1),
+		"name": fmt.Sprintf("lab%d", n), "listen": x.listen, "discovery": r.disco.Addr, "seed": fmt.Sprintf("%016x", d.Seed+1+n),
 		"limits": map[string]any{"cores": d.Mixer.Cores, "memory_mb": int64(d.Mixer.Memory >> 20), "sockets": d.Mixer.Sockets},
 		"known":  r.disco.Snapshot(),
-		"settings": map[string]any{"balancers": 1, "discovery": "ask", "resolution": 5000, "kinds": []string{"std-2c"}, "tenants": []any{},
+		"settings": map[string]any{"balancers": d.Mixer.Count, "discovery": "ask", "resolution": 5000, "kinds": []string{"std-2c"}, "tenants": []any{},
 			"request-classes": list(func(c Class) any {
 				return map[string]any{"name": c.Name, "aim": c.Aim.Microseconds(), "deadline": c.Patience.Microseconds(), "effect": c.Effect,
 					"late-worth": 0.1, "memory-span": 5000000, "value": 1.0}
@@ -204,35 +250,40 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(r.dir, "config.json"), text, 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(r.dir, fmt.Sprintf("config-%d.json", n)), text, 0o600); err != nil {
 		return err
 	}
-	args := []string{"serve", "--config", filepath.Join(r.dir, "config.json")}
-	if r.hooks {
-		if err := r.operator(d.path(d.Hooks.Dir)); err != nil {
+	args := []string{"serve", "--config", filepath.Join(r.dir, fmt.Sprintf("config-%d.json", n))}
+	if r.hooks || r.world != nil {
+		dir := ""
+		if r.hooks {
+			dir = d.path(d.Hooks.Dir)
+		}
+		if err := r.operator(n, dir); err != nil {
 			return err
 		}
-		args = append(args, "--operator", r.operatorFile())
+		args = append(args, "--operator", r.operatorFile(n))
 	}
 	out, err := os.Create(logFile)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	r.cmd = exec.Command(r.opt.Program, args...)
-	r.cmd.Stdout, r.cmd.Stderr = out, out
-	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := r.cmd.Start(); err != nil {
+	x.cmd = exec.Command(r.opt.Program, args...)
+	x.cmd.Stdout, x.cmd.Stderr = out, out
+	x.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := x.cmd.Start(); err != nil {
 		return err
 	}
-	go func() { r.exited <- r.cmd.Wait() }()
+	r.mixers = append(r.mixers, x)
+	go func() { x.exited <- x.cmd.Wait() }()
 	for until := time.Now().Add(readyTime); ; time.Sleep(20 * time.Millisecond) {
-		if ready(r.listen) {
+		if ready(x.listen) && (r.world == nil || r.mapped(n)) {
 			return nil
 		}
 		select {
-		case err := <-r.exited:
-			r.exited <- err
+		case err := <-x.exited:
+			x.exited <- err
 			return fmt.Errorf("the mixer did not start: %v\n%s", err, tail(logFile))
 		default:
 		}
@@ -242,13 +293,25 @@
 	}
 }
 
-func (r *run) operatorFile() string { return filepath.Join(r.dir, "operator.ini") }
-func (r *run) socket() string       { return filepath.Join(r.dir, "s") }
+// mapped tells whether a mixer has a map.
+func (r *run) mapped(n int) bool {
+	var rep segments.Report
+	return control.Ask(r.socket(n), &rep, "segments", "show") == nil && rep.Epoch > 0
+}
+
+func (r *run) operatorFile(n int) string {
+	return filepath.Join(r.dir, fmt.Sprintf("operator-%d.ini", n))
+}
+func (r *run) socket(n int) string { return filepath.Join(r.dir, fmt.Sprintf("s%d", n)) }
 
 // operator writes the operator file, with a set's folder.
-func (r *run) operator(set string) error {
+func (r *run) operator(n int, set string) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[control]\nsocket = %s\n[hooks]\n", r.socket())
+	fmt.Fprintf(&b, "[control]\nsocket = %s\n", r.socket(n))
+	if r.world != nil {
+		fmt.Fprintf(&b, "[segments]\nfeed = %s\n", r.world.Addr)
+	}
+	b.WriteString("[hooks]\n")
 	h := r.d.Hooks
 	h.Dir = ""
 	if set != "" {
@@ -267,7 +330,7 @@
 		}
 		fmt.Fprintf(&b, "%s = %s\n", f.Key, value)
 	}
-	return os.WriteFile(r.operatorFile(), []byte(b.String()), 0o600)
+	return os.WriteFile(r.operatorFile(n), []byte(b.String()), 0o600)
 }
 
 // load runs the load and the steps, and looks at the mixer each second.
@@ -275,16 +338,30 @@
 	d := r.d
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	desks := desk.New(desk.Config{Addr: func() string { return r.listen }, Shards: d.Fleet.Shards, Seed: uint64(d.Seed), Judge: r.j, Conns: d.Mixer.Sockets / 3})
+	var turn atomic.Uint64
+	c := desk.Config{Addr: func() string { return r.mixers[turn.Add(1)%uint64(len(r.mixers))].listen }, Shards: d.Fleet.Shards,
+		Seed: uint64(d.Seed), Judge: r.j, Conns: d.Mixer.Sockets / 3}
+	var reshaping sync.WaitGroup
+	if r.world != nil {
+		c.Map, c.Keys = func() *placement.Map { return r.world.Map(d.Reshape.Behind) }, r.world.Keys
+	}
+	desks := desk.New(c)
 	begin := time.Now()
 	loading, stop := context.WithDeadline(ctx, begin.Add(d.Length))
 	defer stop()
+	if r.world != nil {
+		reshaping.Add(1)
+		go func() {
+			defer reshaping.Done()
+			r.world.Run(loading)
+		}()
+	}
 	var all sync.WaitGroup
 	for _, c := range d.Classes {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			desks.Run(loading, desk.Class{Name: c.Name, Rate: c.Rate, Parts: c.Parts, Patience: c.Patience, Text: c.Text}, begin)
+			desks.Run(loading, desk.Class{Name: c.Name, Rate: c.Rate, Parts: c.Parts, Patience: c.Patience, Text: c.Text, Books: c.Books}, begin)
 		}()
 	}
 	var steps sync.WaitGroup
@@ -310,26 +387,32 @@
 			select {
 			case <-loading.Done():
 				return
-			case err := <-r.exited:
-				r.exited <- err
+			case <-tick.C:
+			}
+			for _, x := range r.mixers {
 				r.mu.Lock()
 				stopping := r.stopping
 				r.mu.Unlock()
-				if !stopping {
-					r.fail("the mixer ended under load: %v", err)
-					stop()
+				select {
+				case err := <-x.exited:
+					x.exited <- err
+					if !stopping {
+						r.fail("a mixer ended under load: %v", err)
+						stop()
+						return
+					}
+				default:
 				}
-				return
-			case <-tick.C:
 			}
 		}
 	}()
 	all.Wait()
 	steps.Wait()
 	<-watched
+	reshaping.Wait()
 	span := time.Since(begin)
 	r.look(begin)
-	r.end(logFile)
+	r.end()
 	out := &Run{Name: r.name, Verdict: r.j.Judge(begin.Add(d.Warmup), begin.Add(d.Length)), Unasked: desks.Close(), Log: logFile,
 		RSSMost: r.rss, FilesTop: r.files, Faults: r.faults, Broken: r.broken}
 	out.Rate = float64(out.Verdict.Queries) / min(span, d.Length).Seconds()
@@ -346,8 +429,13 @@
 		out.Opened += n
 	}
 	out.Report = r.report
-	if r.cmd.ProcessState != nil {
-		out.CPU = r.cmd.ProcessState.UserTime() + r.cmd.ProcessState.SystemTime()
+	for _, x := range r.mixers {
+		if x.cmd.ProcessState != nil {
+			out.CPU += x.cmd.ProcessState.UserTime() + x.cmd.ProcessState.SystemTime()
+		}
+	}
+	if r.world != nil {
+		out.Reshapes = r.world.Counts()
 	}
 	return out, ctx.Err()
 }
@@ -374,16 +462,18 @@
 	switch s.Do {
 	case "hooks", "bad-hooks":
 		r.look(time.Now()) // what the set that goes has counted
-		if err = control.Ask(r.socket(), &rep, "hooks", "list"); err != nil {
+		if err = control.Ask(r.socket(0), &rep, "hooks", "list"); err != nil {
 			break
 		}
 		before := rep.Swaps
-		if err = r.operator(r.d.path(s.Set)); err != nil {
-			break
+		for n := range r.mixers {
+			if err = r.operator(n, r.d.path(s.Set)); err != nil {
+				break
+			}
 		}
-		r.cmd.Process.Signal(syscall.SIGHUP)
+		r.signal(syscall.SIGHUP)
 		for until := time.Now().Add(readyTime); ; time.Sleep(20 * time.Millisecond) {
-			if err = control.Ask(r.socket(), &rep, "hooks", "list"); err != nil {
+			if err = control.Ask(r.socket(0), &rep, "hooks", "list"); err != nil {
 				break
 			}
 			if s.Do == "hooks" && rep.Swaps > before || s.Do == "bad-hooks" && rep.Rejected != "" {
@@ -403,18 +493,18 @@
 			}
 		}
 		if err == nil && s.By == "command" {
-			err = control.Ask(r.socket(), &rep, "hooks", "reload")
+			err = control.Ask(r.socket(0), &rep, "hooks", "reload")
 		}
 	case "reload":
-		err = control.Ask(r.socket(), &rep, "hooks", "reload")
+		err = control.Ask(r.socket(0), &rep, "hooks", "reload")
 	case "enable", "disable":
-		err = control.Ask(r.socket(), &rep, "hooks", s.Do, s.Hook)
+		err = control.Ask(r.socket(0), &rep, "hooks", s.Do, s.Hook)
 	case "stop":
 		r.look(time.Now())
 		r.mu.Lock()
 		r.stopping = true
 		r.mu.Unlock()
-		r.cmd.Process.Signal(syscall.SIGTERM)
+		r.signal(syscall.SIGTERM)
 		time.Sleep(stopLoad)
 		stop()
 	case "hang", "fail", "busy", "well":
@@ -425,7 +515,7 @@
 		i := indexOf(r.d.Servers(), s.Server)
 		r.leaves[s.Server].Close()
 		var l *leaf.Server
-		if l, err = leaf.Listen(s.Server, r.addrs[s.Server], r.model(i), r.j); err == nil {
+		if l, err = leaf.Listen(s.Server, r.addrs[s.Server], r.model(i, s.Server), r.j); err == nil {
 			r.leaves[s.Server] = l
 		}
 	case "drain":
@@ -450,12 +540,15 @@
 // look samples the mixer.
 func (r *run) look(begin time.Time) {
 	s := Sample{At: time.Since(begin), Of: r.d.Length, Open: r.j.Open()}
-	s.RSS, s.Files = process(r.cmd.Process.Pid)
+	for _, x := range r.mixers {
+		rss, files := process(x.cmd.Process.Pid)
+		s.RSS, s.Files = max(s.RSS, rss), max(s.Files, files)
+	}
 	var rep hook.Report
 	r.mu.Lock()
 	stopping := r.stopping
 	r.mu.Unlock()
-	asked := r.hooks && !stopping && control.Ask(r.socket(), &rep, "hooks", "list") == nil
+	asked := r.hooks && !stopping && control.Ask(r.socket(0), &rep, "hooks", "list") == nil
 	r.mu.Lock()
 	r.rss, r.files = max(r.rss, s.RSS), max(r.files, s.Files)
 	if asked {
@@ -474,29 +567,40 @@
 	}
 }
 
+func (r *run) signal(s os.Signal) {
+	for _, x := range r.mixers {
+		x.cmd.Process.Signal(s)
+	}
+}
+
 // end stops the program and looks at how it ended.
-func (r *run) end(logFile string) {
+func (r *run) end() {
 	r.mu.Lock()
 	r.stopping = true
 	r.mu.Unlock()
-	r.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case err := <-r.exited:
-		if err != nil {
-			r.fail("the mixer ended with %v\n%s", err, tail(logFile))
+	r.signal(syscall.SIGTERM)
+	for _, x := range r.mixers {
+		select {
+		case err := <-x.exited:
+			if err != nil {
+				r.fail("a mixer ended with %v\n%s", err, tail(x.log))
+			}
+			x.exited <- err
+		case <-time.After(endTime):
+			r.fail("a mixer did not end %v after SIGTERM", endTime)
+			x.cmd.Process.Kill()
+			x.exited <- <-x.exited
 		}
-		r.exited <- err
-	case <-time.After(endTime):
-		r.fail("the mixer did not end %v after SIGTERM", endTime)
-		r.cmd.Process.Kill()
-		r.exited <- <-r.exited
 	}
 }
 
 func (r *run) close() {
-	if r.cmd != nil && r.cmd.Process != nil && r.cmd.ProcessState == nil {
-		r.cmd.Process.Kill()
-		<-r.exited
+	for _, x := range r.mixers {
+		x.cmd.Process.Kill() // one that has ended says so
+		<-x.exited
+	}
+	if r.world != nil {
+		r.world.Close()
 	}
 	if r.disco != nil {
 		r.disco.Close()
--- a/internal/lab/drill/verdict.go
+++ b/internal/lab/drill/verdict.go
@@ -66,6 +66,9 @@
 		if share := float64(t.Failed) / float64(t.Sent); share > c.FailedMost {
 			unmet("class %s: %.1f%% failed, and %.1f%% may", c.Name, 100*share, 100*c.FailedMost)
 		}
+		if share := float64(t.Answered) / float64(t.Sent); share < d.Expect.AnswerLeast {
+			unmet("class %s: %.1f%% were answered, and %.1f%% must be", c.Name, 100*share, 100*d.Expect.AnswerLeast)
+		}
 		if base == nil || c.Hooked {
 			continue
 		}
@@ -96,6 +99,9 @@
 	if main.Calls < int64(e.CallsLeast) {
 		unmet("%d calls of hooks, and there must be %d", main.Calls, e.CallsLeast)
 	}
+	if n := main.Reshapes["done"]; n < e.Reshapes {
+		unmet("%d reshapes came to their end, and %d must", n, e.Reshapes)
+	}
 	r.Pass = len(r.Unmet) == 0
 	return r
 }
@@ -145,6 +151,13 @@
 		fmt.Fprintf(w, "hooks: %d sets put in force, %d calls, breakers opened %d times, faults %s\n", r.Main.Report.Swaps, r.Main.Calls,
 			r.Main.Opened, strings.Join(append(kinds, ""), " "))
 	}
+	if len(r.Main.Reshapes) > 0 {
+		fmt.Fprint(w, "reshapes:")
+		for _, k := range slices.Sorted(maps.Keys(r.Main.Reshapes)) {
+			fmt.Fprintf(w, " %s=%d", strings.ReplaceAll(k, " ", "-"), r.Main.Reshapes[k])
+		}
+		fmt.Fprintln(w)
+	}
 	for _, run := range []*Run{r.Base, r.Main} {
 		if run != nil {
 			for _, f := range run.Verdict.Faults {
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,16 +40,20 @@
 	Need, Floor float64
 }
 
-// Part is a part that a client asked for.
+// Part is a part that a client asked for. Keys are those that it must bring, where
+// the drill has keys.
 type Part struct {
 	Shard  int
 	Weight float64
+	Keys   []string
 }
 
 // Hit is a value in an answer.
 type Hit struct {
 	Shard int
 	Value string
+	In    bool // more of it stands under another shard
+	Cut   bool // it says which keys it covers, and that is not all
 }
 
 // Outcome is how a query ended, as its client saw it.
@@ -98,12 +103,14 @@
 	runs    map[string][]*run // by part id
 	drains  map[string]time.Time
 	open    int
+	byKey   map[string][]string // who ran a key's booking
+	byQuery map[string][]*run
 }
 
 // New returns a judge; grace is how long after a drain is told parts may be sent.
 func New(classes []Class, grace time.Duration) *Judge {
 	j := &Judge{classes: make(map[string]Class), grace: grace, queries: make(map[string]*Query),
-		runs: make(map[string][]*run), drains: make(map[string]time.Time)}
+		runs: make(map[string][]*run), drains: make(map[string]time.Time), byKey: make(map[string][]string), byQuery: make(map[string][]*run)}
 	for _, c := range classes {
 		j.classes[c.Name] = c
 	}
@@ -158,9 +165,25 @@
 		r.afterDrainBy = at.Sub(told)
 	}
 	j.runs[part] = append(j.runs[part], r)
+	query, _, _ := strings.Cut(part, ".")
+	j.byQuery[query] = append(j.byQuery[query], r)
 	return &Attempt{j, r}
 }
 
+// KeyRan notes that a booking of a key runs. Each key is booked once.
+func (j *Judge) KeyRan(key, query, server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.byKey[key] = append(j.byKey[key], query+" at "+server)
+}
+
+// NeverRan takes Ran back: the server found out that it may not.
+func (a *Attempt) NeverRan() {
+	a.j.mu.Lock()
+	defer a.j.mu.Unlock()
+	a.r.ran = false
+}
+
 // Ran notes that the attempt is run from now on.
 func (a *Attempt) Ran() {
 	a.j.mu.Lock()
@@ -263,6 +286,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(j.runs)) {
 		runs, q := j.runs[id], asked[id]
+		if query, _, _ := strings.Cut(id, "."); q == nil && j.queries[query] != nil && j.queries[query].keyed() {
+			q = j.queries[query] // its segment has another name by now
+		}
 		if q == nil {
 			v.Wrong++
 			fault("wrong: part %s was asked for by no client", id)
@@ -291,6 +317,12 @@
 			fault("doubled: part %s of %s ran %d times", id, q.Class, ran)
 		}
 	}
+	for _, key := range slices.Sorted(maps.Keys(j.byKey)) {
+		if by := j.byKey[key]; len(by) > 1 {
+			v.Doubled += len(by) - 1
+			fault("doubled: key %s ran %d times: for %s", key, len(by), strings.Join(by, ", for "))
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(tallies)) {
 		t, h := tallies[name], spans[name]
 		t.P50 = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
@@ -309,18 +341,72 @@
 func partID(q *Query, shard int) string { return fmt.Sprintf("%s.%d", q.ID, shard) }
 
 func (j *Judge) ran(q *Query) bool {
+	return slices.ContainsFunc(j.byQuery[q.ID], func(r *run) bool { return r.ran })
+}
+
+// keyed tells whether the query says which keys it must bring.
+func (q *Query) keyed() bool { return len(q.Parts) > 0 && q.Parts[0].Keys != nil }
+
+// wrongKeys judges an answer by its keys: each line of a value is what a server
+// made, SERVER|KEY KEY ..., or SERVER|booked|had KEY for QUERY.
+func (j *Judge) wrongKeys(q *Query, c Class) string {
+	want, got := make(map[string]bool), make(map[string]bool)
 	for _, p := range q.Parts {
-		for _, r := range j.runs[partID(q, p.Shard)] {
-			if r.ran {
-				return true
+		for _, k := range p.Keys {
+			want[k] = true
+		}
+	}
+	for _, h := range q.Hits {
+		for line := range strings.SplitSeq(h.Value, "\n") {
+			if line == "" && h.In {
+				continue
+			}
+			if !slices.ContainsFunc(j.byQuery[q.ID], func(r *run) bool { return r.value == line && line != "" }) {
+				return fmt.Sprintf("shard %d: no leaf server made %.60q", h.Shard, line)
+			}
+			_, list, _ := strings.Cut(line, "|")
+			words := strings.Fields(list)
+			if len(words) == 4 && (words[0] == "booked" || words[0] == "had") {
+				words = words[1:2]
+			}
+			for _, k := range words {
+				switch {
+				case !want[k]:
+					return fmt.Sprintf("key %s was not asked for", k)
+				case got[k]:
+					return fmt.Sprintf("key %s stands twice", k)
+				}
+				got[k] = true
 			}
 		}
 	}
-	return false
+	share := 0.0
+	for _, h := range q.Hits {
+		i := slices.IndexFunc(q.Parts, func(p Part) bool { return p.Shard == h.Shard })
+		if i < 0 {
+			return fmt.Sprintf("shard %d was not asked for", h.Shard)
+		}
+		share += q.Parts[i].Weight
+		if h.Cut && q.Whole && c.Need >= 1 {
+			return fmt.Sprintf("marked whole, and shard %d is not", h.Shard)
+		}
+		for _, k := range q.Parts[i].Keys {
+			if !h.Cut && !got[k] {
+				return fmt.Sprintf("key %s of shard %d is missing, and the answer does not say so", k, h.Shard)
+			}
+		}
+	}
+	if q.Whole && share < c.Need-1e-3 {
+		return fmt.Sprintf("marked whole with %.3f of %.3f", share, c.Need)
+	}
+	return ""
 }
 
 // wrong tells what is wrong with an answer; empty: nothing.
 func (j *Judge) wrong(q *Query, c Class) string {
+	if q.keyed() {
+		return j.wrongKeys(q, c)
+	}
 	share, seen := 0.0, make(map[int]bool)
 	for _, h := range q.Hits {
 		i := slices.IndexFunc(q.Parts, func(p Part) bool { return p.Shard == h.Shard })
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -14,7 +14,7 @@
 // play judges one query that a scene tells of.
 func play(class string, scene func(j *Judge, q *Query)) *Verdict {
 	j := New([]Class{{Name: "free-slots", Need: 0.5, Floor: 0.5}, {Name: "book-trip", Unsafe: true, Need: 1, Floor: 1}}, 2*time.Second)
-	q := &Query{ID: "q", Class: class, Parts: []Part{{0, 0.4}, {1, 0.6}}, Due: at(0), Sent: at(0), Patience: time.Second, Ended: at(100)}
+	q := &Query{ID: "q", Class: class, Parts: []Part{{Shard: 0, Weight: 0.4}, {Shard: 1, Weight: 0.6}}, Due: at(0), Sent: at(0), Patience: time.Second, Ended: at(100)}
 	j.Sent(q)
 	scene(j, q)
 	j.Ended(q)
@@ -36,12 +36,12 @@
 	}{
 		"well": {"free-slots", func(j *Judge, q *Query) {
 			served(j, "q.1", "a", 10, 50, "v1")
-			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 1, Value: "v1"}}
 		}, Verdict{}},
 		"tried again": {"free-slots", func(j *Judge, q *Query) {
 			served(j, "q.1", "a", 10, 50, "")
 			served(j, "q.1", "b", 51, 60, "v1")
-			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 1, Value: "v1"}}
 		}, Verdict{}},
 		"lost":         {"free-slots", func(j *Judge, q *Query) { q.Outcome = Lost }, Verdict{Lost: 1}},
 		"late":         {"free-slots", func(j *Judge, q *Query) { q.Outcome, q.Ended = Failed, at(1051) }, Verdict{Late: 1}},
@@ -50,12 +50,12 @@
 		"two attempts at once": {"free-slots", func(j *Judge, q *Query) {
 			served(j, "q.1", "a", 10, 90, "")
 			served(j, "q.1", "b", 50, 60, "v1")
-			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 1, Value: "v1"}}
 		}, Verdict{Doubled: 1}},
 		"never given up": {"free-slots", func(j *Judge, q *Query) {
 			j.Arrived("q.1", "a", at(10))
 			served(j, "q.1", "b", 50, 60, "v1")
-			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 1, Value: "v1"}}
 		}, Verdict{Doubled: 1}},
 		"ran twice": {"book-trip", func(j *Judge, q *Query) {
 			served(j, "q.1", "a", 10, 50, "")
@@ -68,20 +68,20 @@
 		}, Verdict{Wrong: 1}},
 		"made up": {"free-slots", func(j *Judge, q *Query) {
 			served(j, "q.1", "a", 10, 50, "v1")
-			q.Whole, q.Hits = true, []Hit{{1, "v2"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 1, Value: "v2"}}
 		}, Verdict{Wrong: 1}},
-		"not asked for": {"free-slots", func(j *Judge, q *Query) { q.Whole, q.Hits = true, []Hit{{7, "v"}} }, Verdict{Wrong: 1}},
+		"not asked for": {"free-slots", func(j *Judge, q *Query) { q.Whole, q.Hits = true, []Hit{{Shard: 7, Value: "v"}} }, Verdict{Wrong: 1}},
 		"whole with too little": {"free-slots", func(j *Judge, q *Query) {
 			served(j, "q.0", "a", 10, 50, "v")
-			q.Whole, q.Hits = true, []Hit{{0, "v"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 0, Value: "v"}}
 		}, Verdict{Wrong: 1}},
 		"less than the least": {"free-slots", func(j *Judge, q *Query) {
 			served(j, "q.0", "a", 10, 50, "v")
-			q.Hits = []Hit{{0, "v"}}
+			q.Hits = []Hit{{Shard: 0, Value: "v"}}
 		}, Verdict{Wrong: 1}},
 		"twice in one answer": {"free-slots", func(j *Judge, q *Query) {
 			served(j, "q.1", "a", 10, 50, "v")
-			q.Whole, q.Hits = true, []Hit{{1, "v"}, {1, "v"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 1, Value: "v"}, {Shard: 1, Value: "v"}}
 		}, Verdict{Wrong: 1}},
 		"nobody asked": {"free-slots", func(j *Judge, q *Query) {
 			j.Arrived("x.1", "a", at(1)).Over(at(2), "")
@@ -90,7 +90,7 @@
 		"after a drain": {"free-slots", func(j *Judge, q *Query) {
 			j.Told("a", at(-2100))
 			served(j, "q.1", "a", 10, 50, "v1")
-			q.Whole, q.Hits = true, []Hit{{1, "v1"}}
+			q.Whole, q.Hits = true, []Hit{{Shard: 1, Value: "v1"}}
 		}, Verdict{Drained: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/leaf/leaf.go
+++ b/internal/lab/leaf/leaf.go
@@ -26,8 +26,18 @@
 
 const writeTime = 5 * time.Second
 
+// Keeper holds the keys that a server's cell holds. Without one a server holds all.
+type Keeper interface {
+	// Begin is asked as a part is about to run. held is false where the cell may not
+	// do it now, at the epoch it has heard of: the part never runs. finish makes the
+	// value; where it is not held any more by then, nothing was done.
+	Begin(server string, p frame.Part) (finish func() (value string, held bool), epoch int64, held bool)
+	Epoch() int64
+}
+
 // Model is how a server works.
 type Model struct {
+	Keeper Keeper
 	Cores  int
 	Room   int
 	Median time.Duration
@@ -69,6 +79,7 @@
 	part    frame.Part
 	attempt *judge.Attempt
 	gone    bool // given up, or its connection has ended
+	finish  func() (string, bool)
 	timer   *time.Timer
 }
 
@@ -254,6 +265,14 @@
 		if w.gone {
 			continue
 		}
+		if k := s.model.Keeper; k != nil {
+			finish, epoch, held := k.Begin(s.Name, w.part)
+			if !held {
+				s.away(w, epoch)
+				continue
+			}
+			w.finish = finish
+		}
 		s.busy++
 		w.attempt.Ran()
 		w.timer = time.AfterFunc(s.span(w.part.ID), func() { s.finish(w) })
@@ -268,9 +287,28 @@
 	return time.Duration(float64(s.model.Median) * math.Exp(s.model.Sigma*r.NormFloat64()))
 }
 
+// away turns a part away that is not held here. Under mu.
+func (s *Server) away(w *work, epoch int64) {
+	w.gone = true
+	delete(w.c.work, w.part.ID)
+	w.attempt.Over(time.Now(), "")
+	go w.c.write('A', frame.AppendAnswer(nil, frame.Answer{ID: w.part.ID, End: "busy", Report: fmt.Sprintf("moved=%d", epoch)}))
+}
+
 func (s *Server) finish(w *work) {
-	value := Value(s.Name, w.part)
+	value, held := Value(s.Name, w.part), true
+	if w.finish != nil {
+		value, held = w.finish()
+	}
 	s.mu.Lock()
+	if !held && !w.gone {
+		s.busy--
+		w.attempt.NeverRan()
+		s.away(w, s.model.Keeper.Epoch())
+		s.start()
+		s.mu.Unlock()
+		return
+	}
 	s.busy--
 	s.start()
 	gone := w.gone
