--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -25,6 +25,7 @@
 	"saddleport/internal/control"
 	"saddleport/internal/front"
 	"saddleport/internal/hook"
+	"saddleport/internal/source/segments"
 )
 
 const patience = 20 * time.Second // for anything a script expects: no verdict hangs on a pace
@@ -110,6 +111,10 @@
 		s.write(at, string(text), strings.Join(words[1:], " "))
 		return
 	}
+	if who == "segments" {
+		s.segments(at, what, rest)
+		return
+	}
 	if who == "hooks" {
 		s.hooks(at, what, rest)
 		return
@@ -154,7 +159,7 @@
 		return
 	}
 	require.NoError(s.t, p.nc.SetDeadline(time.Now().Add(patience)), at)
-	text := s.addresses(strings.NewReplacer(`\n`, "\n", `\r`, "\r").Replace(rest))
+	text := s.addresses(strings.NewReplacer(`\\`, `\`, `\n`, "\n", `\r`, "\r").Replace(rest))
 	switch what {
 	case ">": // a line
 		p.send(s, at, text+"\r\n")
@@ -238,6 +243,25 @@
 
 func (s *stage) operator() string { return filepath.Join(filepath.Dir(s.set), "operator.ini") }
 
+// segments names the peer that is the placement feed, before the mixer starts, or
+// waits for a map.
+func (s *stage) segments(at, what, rest string) {
+	if what != "epoch" {
+		dir, err := os.MkdirTemp("", "sp")
+		require.NoError(s.t, err, at)
+		s.t.Cleanup(func() { os.RemoveAll(dir) })
+		s.set = filepath.Join(dir, "set")
+		text := "[control]\nsocket = s\n[segments]\nfeed = " + s.peers[what].ln.Addr().String() + "\n"
+		require.NoError(s.t, os.WriteFile(s.operator(), []byte(text), 0o600), at)
+		return
+	}
+	for epoch := ""; epoch != rest; {
+		var r segments.Report
+		require.NoError(s.t, control.Ask(filepath.Join(filepath.Dir(s.set), "s"), &r, "segments", "show"), at)
+		epoch = fmt.Sprint(r.Epoch)
+	}
+}
+
 // hooks gives the mixer a copy of a set of testdata/sets before it starts, edits
 // that copy, or speaks to the mixer on its control socket.
 func (s *stage) hooks(at, what, rest string) {
