Measure the map of segments; not ready before a map is held; refuse parts still out

saddlelab map-cost times look-ups, changes and whole maps by size and draws a chart (gonum, in the tool alone). A mixer with a feed is ready once it has a map. A query whose parts, by the map's names, are still out is no new one.

--- a/cmd/saddlelab/main.go
+++ b/cmd/saddlelab/main.go
@@ -16,6 +16,7 @@
 
 	"saddleport/internal/lab/drill"
 	"saddleport/internal/lab/hookcost"
+	"saddleport/internal/lab/mapcost"
 	"saddleport/internal/lab/show"
 )
 
@@ -63,6 +64,23 @@
 					}
 					return t.Print(os.Stdout)
 				}},
+			{Name: "map-cost", Usage: "measure the map of segments by size", Flags: []cli.Flag{asJSON,
+				&cli.StringFlag{Name: "chart", Usage: "draw a chart into this `FILE` (.png or .svg)"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					t, err := mapcost.Measure([]int{1000, 3000, 10000, 30000, 100000}, os.Stderr)
+					if err != nil {
+						return err
+					}
+					if file := c.String("chart"); file != "" {
+						if err := t.Chart(file); err != nil {
+							return err
+						}
+					}
+					if c.Bool("json") {
+						return encode(t)
+					}
+					return t.Print(os.Stdout)
+				}},
 		},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -181,7 +181,7 @@
 	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves, Keep: cfg.sockets / keepShare,
 		Shards: cfg.settings.Router.Shards, Classes: classes, Pace: cfg.pace, Segments: m.feed != nil})
 	if m.feed != nil { // segments are numbered as the map says
-		f.Shards = 0
+		f.Shards, f.Ready = 0, m.feed.Held
 	}
 	stop := make(chan struct{})
 	b.Apply(cfg.known, cfg.addrs)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -381,6 +381,13 @@
 		x.final(q, Final{Ending: Refused, RetryAfter: x.advice(q.Class), Reason: err.Error()})
 		return
 	}
+	for _, p := range h.parts {
+		if x.parts[p.id] != nil { // by the map's names it is one that is still out
+			x.Counters.Repeated.Add(1)
+			x.final(q, Final{Ending: Failed})
+			return
+		}
+	}
 	x.queries[q.ID] = h
 	for _, p := range h.parts {
 		x.parts[p.id] = p
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,6 +52,7 @@
 	Shards     int  // 0: not told
 	Segments   bool // shards are segments of a map, and parts may name ranges of keys
 	Classes    map[string]bool
+	Ready      func() bool // beside all else; nil: at once
 	Pace       Pace
 }
 
@@ -332,6 +333,9 @@
 		if c.f.stopping.Load() {
 			return c.write(503, "stopping\n", false)
 		}
+		if c.f.Ready != nil && !c.f.Ready() {
+			return c.write(503, "no map of the segments yet\n", keep)
+		}
 		return c.write(200, "ready\n", keep)
 	case "/-/healthy":
 		return c.write(200, "healthy\n", keep)
--- /dev/null
+++ b/internal/lab/mapcost/mapcost.go
@@ -0,0 +1,162 @@
+// Package mapcost measures the map of segments: look-ups, changes, whole maps and
+// memory, by how many segments there are. It owns the measurement and its chart.
+package mapcost
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"saddleport/internal/core/placement"
+)
+
+const (
+	cells   = 2500 // of two servers each
+	lookups = 200000
+	changes = 200
+	rounds  = 5 // the median of so many is told
+)
+
+// Row is one size.
+type Row struct {
+	Segments                   int
+	LookupNS, LookupsPerSecond float64
+	ChangeUS, WholeMS          float64
+	BytesPerSegment            float64
+}
+
+// Table is a measurement.
+type Table struct {
+	Machine string
+	Rows    []Row
+}
+
+// update makes a whole map of n segments over 5,000 servers.
+func update(n int) *placement.Update {
+	u := &placement.Update{Epoch: 1}
+	for c := range cells {
+		u.Cells = append(u.Cells, placement.Cell{ID: c, Servers: []string{fmt.Sprintf("s-%d-0", c), fmt.Sprintf("s-%d-1", c)}})
+	}
+	border := func(i int) string {
+		if i == 0 || i == n {
+			return ""
+		}
+		return fmt.Sprintf("gov%02d/%08d", i*12/n, i)
+	}
+	for i := range n {
+		u.Segments = append(u.Segments, placement.Segment{ID: uint32(i + 1), Cell: i % cells,
+			Range: placement.Range{From: border(i), To: border(i + 1)}})
+	}
+	return u
+}
+
+func median(of []float64) float64 {
+	slices.Sort(of)
+	return of[len(of)/2]
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Measure measures maps of these sizes.
+func Measure(sizes []int, progress io.Writer) (*Table, error) {
+	t := &Table{Machine: fmt.Sprintf("%s, %s/%s, %d processors", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())}
+	for _, n := range sizes {
+		fmt.Fprintf(progress, "%d segments ...\n", n)
+		row := Row{Segments: n}
+		u := update(n)
+		before := heap()
+		m, err := (*placement.Map)(nil).Apply(u)
+		if err != nil {
+			return nil, err
+		}
+		row.BytesPerSegment = float64(heap()-before) / float64(n) // the texts of the keys are the update's, and kept by it
+		keys := make([]string, 8192)
+		r := rand.New(rand.NewPCG(1, 2))
+		for i := range keys {
+			keys[i] = u.Segments[r.IntN(n)].From + "x"
+		}
+		var look, change, whole []float64
+		for range rounds {
+			start := time.Now()
+			for i := range lookups {
+				if _, ok := m.Lookup(keys[i%len(keys)]); !ok {
+					return nil, fmt.Errorf("%q was not found", keys[i%len(keys)])
+				}
+			}
+			look = append(look, float64(time.Since(start).Nanoseconds())/lookups)
+			x := m
+			start = time.Now()
+			for i := range changes {
+				s := slices.Clone(x.Segments()[i%n : i%n+1])
+				s[0].Cell = (s[0].Cell + 1) % cells
+				if x, err = x.Apply(&placement.Update{Epoch: x.Epoch() + 1, Base: x.Epoch(), Segments: s}); err != nil {
+					return nil, err
+				}
+			}
+			change = append(change, float64(time.Since(start).Microseconds())/changes)
+			start = time.Now()
+			if _, err := (*placement.Map)(nil).Apply(u); err != nil {
+				return nil, err
+			}
+			whole = append(whole, float64(time.Since(start).Microseconds())/1000)
+		}
+		row.LookupNS, row.ChangeUS, row.WholeMS = median(look), median(change), median(whole)
+		row.LookupsPerSecond = 1e9 / row.LookupNS
+		runtime.KeepAlive(m)
+		runtime.KeepAlive(u)
+		t.Rows = append(t.Rows, row)
+	}
+	return t, nil
+}
+
+// Print writes the table in Markdown.
+func (t *Table) Print(w io.Writer) error {
+	fmt.Fprintf(w, "%s; 5,000 servers in %d cells; medians of %d rounds.\n\n", t.Machine, cells, rounds)
+	g := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	head := []string{"segments", "look-up ns", "look-ups a second", "one change us", "whole map ms", "bytes a segment"}
+	fmt.Fprintf(g, "| %s\t|\n|%s\n", strings.Join(head, "\t| "), strings.Repeat(" ---\t|", len(head)))
+	for _, r := range t.Rows {
+		fmt.Fprintf(g, "| %d\t| %.0f\t| %.0f\t| %.0f\t| %.1f\t| %.0f\t|\n", r.Segments, r.LookupNS, r.LookupsPerSecond, r.ChangeUS, r.WholeMS, r.BytesPerSegment)
+	}
+	return g.Flush()
+}
+
+// Chart draws how look-ups, changes and whole maps grow, on two logarithmic axes.
+func (t *Table) Chart(file string) error {
+	p := plot.New()
+	p.Title.Text = "The map of segments by size"
+	p.X.Label.Text, p.Y.Label.Text = "segments", "microseconds"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	line := func(f func(Row) float64) plotter.XYs {
+		var out plotter.XYs
+		for _, r := range t.Rows {
+			out = append(out, plotter.XY{X: float64(r.Segments), Y: f(r)})
+		}
+		return out
+	}
+	if err := plotutil.AddLinePoints(p, "a look-up", line(func(r Row) float64 { return r.LookupNS / 1000 }),
+		"one change", line(func(r Row) float64 { return r.ChangeUS }),
+		"a whole map", line(func(r Row) float64 { return r.WholeMS * 1000 })); err != nil {
+		return err
+	}
+	return p.Save(6*vg.Inch, 4*vg.Inch, file)
+}
--- a/internal/source/segments/segments.go
+++ b/internal/source/segments/segments.go
@@ -201,6 +201,13 @@
 	return true
 }
 
+// Held tells whether there is a map.
+func (f *Feed) Held() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now != nil
+}
+
 // Report is what is believed at a moment, and why.
 type Report struct {
 	Feed                     string
