Hold the house to its plan: which packages are pure, and that imports run downwards

The layout asks for a test over the import graph: core and choice import no net, os, log, sync or context, start nothing and read no clock; no room knows one above it.

--- /dev/null
+++ b/internal/core/imports_test.go
@@ -0,0 +1,95 @@
+// Package core_test holds the house to its plan: which packages are pure, and that
+// imports run downwards.
+package core_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// walk calls each with every source file below a folder that is no test.
+func walk(t *testing.T, root string, each func(path string, f *ast.File)) {
+	n := 0
+	require.NoError(t, filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		require.NoError(t, err)
+		n++
+		each(path, f)
+		return nil
+	}))
+	require.NotZero(t, n, root)
+}
+
+func imports(f *ast.File) (out []string) {
+	for _, i := range f.Imports {
+		path, _ := strconv.Unquote(i.Path.Value)
+		out = append(out, path)
+	}
+	return out
+}
+
+// Decisions do no I/O, read no clock, start nothing and log nothing.
+func TestPure(t *testing.T) {
+	for _, root := range []string{".", "../../choice"} {
+		walk(t, root, func(path string, f *ast.File) {
+			for _, i := range imports(f) {
+				for _, bad := range []string{"net", "os", "log", "io/fs", "sync", "syscall", "runtime", "context"} {
+					require.False(t, i == bad || strings.HasPrefix(i, bad+"/"), "%s imports %s", path, i)
+				}
+			}
+			ast.Inspect(f, func(n ast.Node) bool {
+				switch n := n.(type) {
+				case *ast.GoStmt:
+					t.Errorf("%s starts a goroutine", path)
+				case *ast.SelectorExpr:
+					if x, ok := n.X.(*ast.Ident); ok && x.Name == "time" && (n.Sel.Name == "Now" || n.Sel.Name == "Since" || n.Sel.Name == "Until" || n.Sel.Name == "After") {
+						t.Errorf("%s reads the clock", path)
+					}
+				}
+				return true
+			})
+		})
+	}
+}
+
+// Imports run downwards: a room knows none above it, and the two sides know only
+// the exchange.
+func TestDownwards(t *testing.T) {
+	floors := []struct {
+		folder string
+		never  []string
+	}{
+		{"../../choice", []string{"saddleport/"}},
+		{".", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/exchange",
+			"saddleport/internal/hook", "saddleport/internal/source", "saddleport/internal/lab", "saddleport/internal/logs"}},
+		{"../exchange", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/hook",
+			"saddleport/internal/source", "saddleport/internal/lab"}},
+		{"../front", []string{"saddleport/internal/app", "saddleport/internal/back", "saddleport/internal/hook", "saddleport/internal/lab"}},
+		{"../back", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/hook", "saddleport/internal/lab"}},
+		{"../hook", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/lab"}},
+		{"../source", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/exchange", "saddleport/internal/lab"}},
+		{"../app", []string{"saddleport/internal/lab"}},
+		{"../operator", []string{"saddleport/internal/app", "saddleport/internal/hook", "saddleport/internal/source"}},
+		{"../../sdk", []string{"saddleport/internal"}},
+	}
+	for _, f := range floors {
+		walk(t, f.folder, func(path string, file *ast.File) {
+			for _, i := range imports(file) {
+				for _, bad := range f.never {
+					require.False(t, strings.HasPrefix(i, bad), "%s imports %s", path, i)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/placement/owner.go
+++ b/internal/core/placement/owner.go
@@ -255,34 +255,27 @@
 // not give to this cell again.
 func (o *Owner) Drop(reshape int64, r Range, epoch int64) {
 	o.Epoch = max(o.Epoch, epoch)
-	for _, p := range o.Pieces {
-		if r.Covers(p.Range) && p.Mode == Fenced && p.Reshape == reshape {
-			for key := range o.Booked {
-				if p.Holds(key) {
-					delete(o.Booked, key)
-				}
-			}
-		}
-	}
-	o.Pieces = slices.DeleteFunc(o.Pieces, func(p Piece) bool {
-		return r.Covers(p.Range) && p.Mode == Fenced && p.Reshape == reshape
-	})
+	o.lose(reshape, r, Fenced)
 }
 
 // Forget undoes a reshape at a new owner: the copies go.
 func (o *Owner) Forget(reshape int64, r Range) {
 	o.Ended[reshape] = true
-	for _, p := range o.Pieces {
-		if r.Covers(p.Range) && p.Mode == Incoming && p.Reshape == reshape {
-			for key := range o.Booked {
-				if p.Holds(key) {
-					delete(o.Booked, key)
-				}
+	o.lose(reshape, r, Incoming)
+}
+
+// lose drops the pieces that a reshape has in a mode, with what is booked there.
+func (o *Owner) lose(reshape int64, r Range, mode Mode) {
+	o.Pieces = slices.DeleteFunc(o.Pieces, func(p Piece) bool {
+		if !r.Covers(p.Range) || p.Mode != mode || p.Reshape != reshape {
+			return false
+		}
+		for key := range o.Booked {
+			if p.Holds(key) {
+				delete(o.Booked, key)
 			}
 		}
-	}
-	o.Pieces = slices.DeleteFunc(o.Pieces, func(p Piece) bool {
-		return r.Covers(p.Range) && p.Mode == Incoming && p.Reshape == reshape
+		return true
 	})
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -181,10 +181,14 @@
 	} else {
 		n.retired = n.retired.copy()
 	}
-	n.cells = make(map[int][]string, len(u.Cells))
-	if u.Base != 0 {
-		for id, servers := range m.cells {
-			n.cells[id] = servers
+	if u.Base != 0 && len(u.Cells) == 0 {
+		n.cells = m.cells // never written once a map is made
+	} else {
+		n.cells = make(map[int][]string, len(u.Cells))
+		if u.Base != 0 {
+			for id, servers := range m.cells {
+				n.cells[id] = servers
+			}
 		}
 	}
 	for _, c := range u.Cells {
