--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -55,7 +55,11 @@
 	if to == "" {
 		to = "end"
 	}
-	return "[" + r.From + ", " + to + ")"
+	from := r.From
+	if from == "" {
+		from = "start"
+	}
+	return "[" + from + ", " + to + ")"
 }
 
 // Empty tells whether a range holds nothing.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -62,7 +62,7 @@
 		"twice":     {Update{Epoch: 6, Base: 5, Segments: []Segment{{ID: 8, Range: Range{"x", "y"}}, {ID: 8, Range: Range{"x", "y"}}}}, "[x, y): segment 8 stands twice"},
 		"empty":     {Update{Epoch: 6, Base: 5, Segments: []Segment{{ID: 8, Range: Range{"y", "x"}}}}, "[y, x): segment 8 holds nothing"},
 		"unknown":   {Update{Epoch: 6, Base: 5, Removed: []uint32{77}}, "update: segment 77 goes, and is not held"},
-		"nothing":   {Update{Epoch: 6, Cells: cells}, "[, end): no segment holds it"},
+		"nothing":   {Update{Epoch: 6, Cells: cells}, "[start, end): no segment holds it"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := first(t)
