--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -78,7 +78,7 @@
 type Step struct {
 	Name   string
 	At     time.Duration `ini:"at" need:"yes" range:"0s..1h"`
-	Do     string        `ini:"do" need:"yes" oneof:"hooks reload bad-hooks disable enable stop hang fail busy well kill revive drain serve" help:"hooks: another set; bad-hooks: one that must be rejected; stop: SIGTERM, the load goes on for 0.3 s"`
+	Do     string        `ini:"do" need:"yes" oneof:"hooks reload bad-hooks disable enable stop hang fail busy claim well kill revive drain serve" help:"hooks: another set; bad-hooks: one that must be rejected; stop: SIGTERM, the load goes on for 0.3 s"`
 	Set    string        `ini:"set" help:"hooks: its folder, from the drill's"`
 	By     string        `ini:"by" default:"signal" oneof:"signal command" help:"hooks: SIGHUP or the control socket"`
 	Hook   string        `ini:"hook" help:"disable, enable"`
@@ -202,7 +202,7 @@
 
 func (p *Step) check(s *inifile.Section, d *Drill) error {
 	need := map[string]string{"hooks": "set", "bad-hooks": "set", "disable": "hook", "enable": "hook", "hang": "server", "fail": "server",
-		"busy": "server", "well": "server", "kill": "server", "revive": "server", "drain": "server", "serve": "server"}[p.Do]
+		"busy": "server", "claim": "server", "well": "server", "kill": "server", "revive": "server", "drain": "server", "serve": "server"}[p.Do]
 	if need != "" && !s.Has(need) {
 		return s.Fault("do", "%s wants a %s", p.Do, need)
 	}
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -507,8 +507,8 @@
 		r.signal(syscall.SIGTERM)
 		time.Sleep(stopLoad)
 		stop()
-	case "hang", "fail", "busy", "well":
-		r.leaves[s.Server].Set(map[string]leaf.Mode{"hang": leaf.Hang, "fail": leaf.Fail, "busy": leaf.Busy, "well": leaf.Well}[s.Do])
+	case "hang", "fail", "busy", "claim", "well":
+		r.leaves[s.Server].Set(map[string]leaf.Mode{"hang": leaf.Hang, "fail": leaf.Fail, "busy": leaf.Busy, "claim": leaf.Claim, "well": leaf.Well}[s.Do])
 	case "kill":
 		r.leaves[s.Server].Close()
 	case "revive":
--- a/internal/lab/leaf/leaf.go
+++ b/internal/lab/leaf/leaf.go
@@ -33,6 +33,8 @@
 	// value; where it is not held any more by then, nothing was done.
 	Begin(server string, p frame.Part) (finish func() (value string, held bool), epoch int64, held bool)
 	Epoch() int64
+	// Claim does a part whether or not the cell holds it: a server that lies.
+	Claim(server string, p frame.Part) (finish func() (value string, held bool))
 }
 
 // Model is how a server works.
@@ -50,10 +52,11 @@
 
 // The modes.
 const (
-	Well Mode = iota
-	Hang      // takes parts and answers none
-	Fail      // answers err at once; the part may have run
-	Busy      // turns all away
+	Well  Mode = iota
+	Hang       // takes parts and answers none
+	Fail       // answers err at once; the part may have run
+	Busy       // turns all away
+	Claim      // does what it does not hold, where it has a keeper
 )
 
 // Server is one stand-in.
@@ -235,7 +238,7 @@
 	switch {
 	case c.work[p.ID] != nil:
 		end = "err"
-	case s.mode == Busy || s.mode == Well && s.busy >= s.model.Cores && len(s.waiting) >= s.model.Room:
+	case s.mode == Busy || (s.mode == Well || s.mode == Claim) && s.busy >= s.model.Cores && len(s.waiting) >= s.model.Room:
 		end = "busy"
 	case s.mode == Fail:
 		w.attempt.Ran()
@@ -267,6 +270,9 @@
 		}
 		if k := s.model.Keeper; k != nil {
 			finish, epoch, held := k.Begin(s.Name, w.part)
+			if !held && s.mode == Claim {
+				finish, held = k.Claim(s.Name, w.part), true
+			}
 			if !held {
 				s.away(w, epoch)
 				continue
--- a/internal/lab/reshape/reshape.go
+++ b/internal/lab/reshape/reshape.go
@@ -481,6 +481,22 @@
 	}, o.Epoch, true
 }
 
+// Claim implements leaf.Keeper for a server that lies: it books and reads what its
+// cell does not hold, and its cell knows nothing of it.
+func (k *Keeper) Claim(server string, p frame.Part) func() (string, bool) {
+	return func() (string, bool) {
+		_, ranges, _ := names(p)
+		k.W.mu.Lock()
+		defer k.W.mu.Unlock()
+		k.W.counts["claimed"]++
+		if query, _, _ := strings.Cut(p.ID, "."); strings.HasPrefix(p.Text, "book") && len(ranges) == 1 {
+			k.W.Judge.KeyRan(ranges[0].From, query, server)
+			return server + "|booked " + ranges[0].From + " for " + query, true
+		}
+		return server + "|", true // it has no data of theirs
+	}
+}
+
 // Epoch is what the cell has heard of.
 func (k *Keeper) Epoch() int64 {
 	k.W.mu.Lock()
