--- a/internal/hook/host.go
+++ b/internal/hook/host.go
@@ -210,15 +210,15 @@
 // Enable turns a hook on or off. One that is on again is out of quarantine.
 func (h *Host) Enable(name string, on bool) error {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	u := h.units[name]
+	u, config := h.units[name], h.settings.breaker()
+	h.mu.Unlock() // the exchange takes it for each query: nothing slow under it
 	if u == nil {
 		return fmt.Errorf("%s: %w", name, ErrUnknown)
 	}
 	u.disabled.Store(!on)
 	if on {
 		u.mu.Lock()
-		u.breaker, u.stuck = breaker.New(h.settings.breaker(), h.now()), ""
+		u.breaker, u.stuck = breaker.New(config, h.now()), ""
 		u.mu.Unlock()
 	}
 	log.Info("hook-enabled", "hook", name, "on", on)
@@ -314,6 +314,14 @@
 
 // record notes how a call ended; f is nil where it ended well.
 func (u *unit) record(now int64, trial bool, took time.Duration, f *Fault) {
+	c, pause, changed := u.note(now, trial, took, f)
+	if changed { // not under mu: a log that is slow must hold up nobody who asks for the state
+		log.Warn("hook-state", "hook", u.name, "from", c.From, "to", c.To, "pause_ms", pause/1000, "reason", c.Reason)
+	}
+}
+
+// note is record without its line.
+func (u *unit) note(now int64, trial bool, took time.Duration, f *Fault) (c breaker.Change, pause int64, changed bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.calls++
@@ -325,15 +333,14 @@
 	}
 	if f != nil && !f.Kind.own() {
 		u.breaker.Skip(trial)
-		return
+		return c, 0, false
 	}
 	what := ""
 	if f != nil {
 		what = string(f.Kind)
 	}
-	if c, changed := u.breaker.Record(now, trial, f != nil, what); changed {
-		log.Warn("hook-state", "hook", u.name, "from", c.From, "to", c.To, "pause_ms", u.breaker.Pause/1000, "reason", c.Reason)
-	}
+	c, changed = u.breaker.Record(now, trial, f != nil, what)
+	return c, u.breaker.Pause, changed
 }
 
 // missed counts a call that was not made.
--- a/internal/hook/pool.go
+++ b/internal/hook/pool.go
@@ -6,7 +6,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"saddleport/internal/core/lanes"
 )
@@ -15,7 +14,6 @@
 const maxExtra = 16
 
 type job struct {
-	until time.Time
 	run   func(lost func()) // lost: it does not come back, another worker is wanted
 	after func()            // once run has returned
 }
@@ -37,10 +35,10 @@
 }
 
 // push adds a job; false: there is no room. Workers start with the first jobs.
-func (p *pool) push(lane string, until time.Time, run func(lost func()), after func()) bool {
+func (p *pool) push(lane string, run func(lost func()), after func()) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || !p.lanes.Push(lane, job{until, run, after}) {
+	if p.closed || !p.lanes.Push(lane, job{run, after}) {
 		return false
 	}
 	if p.live < p.workers {
--- a/internal/hook/session.go
+++ b/internal/hook/session.go
@@ -73,7 +73,7 @@
 func (s *session) Ask(v *hookabi.View, within time.Duration, done func(*hookabi.Result)) {
 	until := time.Now().Add(within)
 	s.users.Add(1)
-	taken := s.host.pool.push(v.Class, until, func(lost func()) { s.run(v, until, lost, done) }, s.leave)
+	taken := s.host.pool.push(v.Class, func(lost func()) { s.run(v, until, lost, done) }, s.leave)
 	if !taken {
 		s.users.Add(-1) // not the last: the query holds one
 		for _, h := range s.set.Hooks {
