--- a/internal/source/segments/segments.go
+++ b/internal/source/segments/segments.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"saddleport/internal/core/placement"
+	"saddleport/internal/inifile"
 	"saddleport/internal/logs"
 )
 
@@ -31,11 +32,11 @@
 	Feed     string        `ini:"feed" help:"host:port of the placement feed; none: shards are what the platform's settings say (counts from the next start)"`
 	MostWait time.Duration `ini:"watch" default:"20s" range:"100ms..60s" help:"how long one call waits for news"`
 	Stale    time.Duration `ini:"stale-after" default:"30s" range:"1s..24h" help:"without an answer for so long the map counts as stale: told, and used all the same"`
+	Bytes    inifile.Bytes `ini:"most-bytes" default:"16MiB" range:"64KiB..1GiB" help:"of one answer of the feed; of a longer one nothing counts"`
 	Most     int           `ini:"most-parts" default:"256" range:"1..4096" help:"parts that one query may bring once its segments have split"`
 }
 
 const (
-	maxBody = 256 << 20
 	askTime = 10 * time.Second // beyond the wait
 	least   = 50 * time.Millisecond
 	most    = 2 * time.Second
@@ -153,7 +154,12 @@
 		return nil, fmt.Errorf("status %d", p.StatusCode)
 	}
 	var u placement.Update
-	if err := json.NewDecoder(io.LimitReader(p.Body, maxBody)).Decode(&u); err != nil {
+	body := &io.LimitedReader{R: p.Body, N: int64(f.set.Bytes) + 1}
+	err = json.NewDecoder(body).Decode(&u)
+	if body.N <= 0 {
+		err = fmt.Errorf("an answer of more than %v: see [segments] most-bytes", f.set.Bytes)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return &u, nil
--- a/internal/source/segments/segments_test.go
+++ b/internal/source/segments/segments_test.go
@@ -75,6 +75,7 @@
 	srv := httptest.NewServer(f)
 	var s Settings
 	inifile.Default(&s)
+	s.Bytes = 64 << 10
 	s.Feed = strings.TrimPrefix(srv.URL, "http://")
 	maps := make(taker, 16)
 	w := New(s, maps)
@@ -92,6 +93,9 @@
 	f.then(placement.Update{Epoch: 9, Base: 8})                                                                                 // a gap: the whole is asked for
 	f.then(placement.Update{Epoch: 9, Cells: cells, Segments: []placement.Segment{{ID: 9, Range: placement.Range{From: "a"}}}}) // a lie
 	f.say(func(w http.ResponseWriter) { fmt.Fprint(w, "{") })
+	f.say(func(w http.ResponseWriter) {
+		fmt.Fprint(w, `{"epoch":9,"removed":[`+strings.Repeat("1,", 40<<10)+`1]}`)
+	}) // too long
 	f.say(func(w http.ResponseWriter) { w.WriteHeader(503) })
 	f.then(placement.Update{Epoch: 2, Cells: cells, Segments: []placement.Segment{{ID: 1}}}) // old
 	f.then(placement.Update{Epoch: 10, Cells: cells, Segments: []placement.Segment{{ID: 10}}})
