--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -115,6 +115,9 @@
 	Fetch()
 }
 
+// mostSpare bounds the list kept for what comes in: one burst must not stay.
+const mostSpare = 4096
+
 // maxWait bounds every span that a peer or the module names.
 const maxWait = 71 * time.Minute
 
@@ -179,6 +182,35 @@
 	return x
 }
 
+// Drive is what an exchange runs on: whose clock it reads, and who is told that
+// something has come in. A process that serves has the system's clock and Run's
+// goroutine; in virtual time both are its caller's event loop.
+type Drive interface {
+	// Now is monotonic, and does not go on within a Turn of a virtual drive.
+	Now() time.Time
+	// Wake asks for a Turn soon. It is called from any goroutine, also from within a
+	// Turn, must not block, and must not call Turn itself.
+	Wake()
+}
+
+// Decider is what decides: a choice.Router where the mixer serves. Step takes the
+// events of one moment and returns what to do, in order.
+type Decider interface {
+	Step(now choice.Micros, events []choice.Event) []choice.Action
+}
+
+// system is the drive of a process that serves.
+type system struct{ wake chan struct{} }
+
+func (system) Now() time.Time { return time.Now() }
+
+func (s system) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Exchange hands events to the decisions and actions to the two sides.
 type Exchange struct {
 	Counters Counters
@@ -192,13 +224,15 @@
 	start       time.Time
 	origin      choice.Micros
 
-	mu   sync.Mutex
-	in   []func()
-	wake chan struct{}
-	open atomic.Int64
+	mu    sync.Mutex
+	in    []func()
+	spare []func() // what in was before, to be used again
+	drive Drive
+	wake  chan struct{} // of the system's drive; nil: another's
+	open  atomic.Int64
 
-	// Owned by Run's goroutine.
-	router  *choice.Router
+	// Owned by the goroutine that runs it.
+	router  Decider
 	events  []choice.Event
 	sends   []*Attempt // not handed over yet
 	guards  []func()   // to run once the events at hand have been decided on
@@ -209,25 +243,36 @@
 	seeds   uint64 // of the hooks' random numbers
 }
 
-// New returns an exchange; Run starts it. The clock handed to the decisions
-// starts at the Unix time, so that the list's start times need no origin of
-// their own, and from there on it is monotonic.
+// New returns an exchange on the system's clock; Run starts it.
 func New(seed uint64, set settings.Settings) (*Exchange, error) {
 	router, err := choice.New(seed, set.Router)
 	if err != nil {
 		return nil, err
 	}
+	wake := make(chan struct{}, 1)
+	x, err := NewOn(system{wake}, router, seed, set)
+	if err == nil {
+		x.wake = wake
+	}
+	return x, err
+}
+
+// NewOn returns an exchange on a caller's drive, with what decides; Attach gives it
+// its client side, and from then on Turn runs it. The clock handed to the decisions
+// starts at the Unix time, so that the list's start times need no origin of their
+// own, and from there on it is monotonic.
+func NewOn(drive Drive, router Decider, seed uint64, set settings.Settings) (*Exchange, error) {
 	for _, c := range set.Router.Classes {
 		if c.Fetch > 0 {
 			return nil, fmt.Errorf("setting Classes: %s: Fetch %d: the protocol has no second step", c.Name, c.Fetch)
 		}
 	}
-	start := time.Now()
+	start := drive.Now()
 	return &Exchange{
 		set:     set,
 		start:   start,
 		origin:  start.UnixMicro(),
-		wake:    make(chan struct{}, 1),
+		drive:   drive,
 		router:  router,
 		seeds:   seed,
 		queries: make(map[string]*held),
@@ -249,10 +294,7 @@
 	x.mu.Lock()
 	x.in = append(x.in, f)
 	x.mu.Unlock()
-	select {
-	case x.wake <- struct{}{}:
-	default:
-	}
+	x.drive.Wake()
 }
 
 // Take hands in a query. Its Done is called exactly once.
@@ -293,7 +335,7 @@
 
 // Run serves until stop is closed. What is open then is left without an answer.
 func (x *Exchange) Run(leaves Leaves, stop <-chan struct{}) {
-	x.leaves = leaves
+	x.Attach(leaves)
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -303,26 +345,33 @@
 		case <-x.wake:
 		case <-alarm.C:
 		}
-		x.turn()
 		next := maxWait
-		if len(x.timers) > 0 {
-			next = max(time.Until(x.timers[0].at), 0)
+		if at, due := x.Turn(); due {
+			next = max(time.Until(at), 0)
 		}
 		alarm.Reset(next)
 	}
 }
 
-// turn gathers what has come in and what is due, lets the router decide, and
-// hands out what it decided.
-func (x *Exchange) turn() {
+// Attach gives an exchange its client side.
+func (x *Exchange) Attach(leaves Leaves) { x.leaves = leaves }
+
+// Turn gathers what has come in and what is due, lets the router decide, and hands
+// out what it decided. It tells when something is due next, if anything is. One
+// goroutine at a time may call it.
+func (x *Exchange) Turn() (next time.Time, due bool) {
 	x.mu.Lock()
 	in := x.in
-	x.in = nil
+	x.in = x.spare[:0]
 	x.mu.Unlock()
-	for _, f := range in {
+	for i, f := range in {
 		f()
+		in[i] = nil
 	}
-	now := time.Now()
+	if x.spare = in; cap(in) > mostSpare {
+		x.spare = nil
+	}
+	now := x.drive.Now()
 	for len(x.timers) > 0 && !x.timers[0].at.After(now) {
 		heap.Pop(&x.timers).(*timer).fire()
 	}
@@ -342,6 +391,10 @@
 	for _, f := range guards {
 		f()
 	}
+	if len(x.timers) == 0 {
+		return time.Time{}, false
+	}
+	return x.timers[0].at, true
 }
 
 func (x *Exchange) after(at time.Time, fire func()) *timer {
@@ -413,7 +466,7 @@
 	q := h.Query
 	x.numbers++
 	ev := choice.Query{ID: q.ID, Class: h.class, Number: x.numbers, Key: q.Key, Tenant: q.Tenant,
-		Grace:  max(time.Until(h.deadline).Microseconds(), 0),
+		Grace:  max(h.deadline.Sub(x.drive.Now()).Microseconds(), 0),
 		Repeat: q.Repeat, Parts: len(h.parts), Hinted: true}
 	// Where hooks dropped so much that the rest can't be whole, the decisions are to
 	// want all of the rest; how the answer is marked is looked at again at its end.
@@ -604,7 +657,7 @@
 		}
 		v = choice.NotSent // no sign of a server that is busy
 	}
-	x.events = append(x.events, choice.Outcome{ID: p.id, Server: a.Server, Delay: time.Since(a.sentAt).Microseconds(),
+	x.events = append(x.events, choice.Outcome{ID: p.id, Server: a.Server, Delay: x.drive.Now().Sub(a.sentAt).Microseconds(),
 		Closed: p.served || p.q.ended, Attempt: a.Index, Verdict: v, Load: load})
 	if p.q.watched != nil && v == choice.Served && !p.q.ended {
 		x.askAnswered(p)
--- a/internal/exchange/hooks.go
+++ b/internal/exchange/hooks.go
@@ -108,7 +108,7 @@
 			then(r)
 		}
 	}
-	alarm = x.after(time.Now().Add(within+hookGrace), func() {
+	alarm = x.after(x.drive.Now().Add(within+hookGrace), func() {
 		if !settled {
 			x.Counters.HookLate.Add(1)
 			settle(k.Unanswered(point, h.class))
@@ -155,7 +155,7 @@
 	k.notWhole = k.notWhole || r.NotWhole
 	if r.Left > 0 {
 		// The view was made a moment ago: what is left is counted from now, never up.
-		if sooner := time.Now().Add(time.Duration(r.Left) * time.Microsecond); sooner.Before(h.deadline) {
+		if sooner := x.drive.Now().Add(time.Duration(r.Left) * time.Microsecond); sooner.Before(h.deadline) {
 			h.deadline = sooner
 			x.drop(h.alarm)
 			x.guard(h)
@@ -238,7 +238,7 @@
 		if !x.grant(h, p, r) || a.giving {
 			return
 		}
-		now := time.Now()
+		now := x.drive.Now()
 		if p.dropped || !a.Until.After(now) {
 			x.outcome(a, choice.NotSent, nil, "")
 			return
--- a/internal/exchange/segments.go
+++ b/internal/exchange/segments.go
@@ -167,7 +167,7 @@
 	}
 	s.parked[p] = true // bounded by the queries held
 	h.placed.wait++
-	p.alarm = x.after(time.Now().Add(time.Duration(t.Pause)*time.Microsecond), func() { x.reroute(p) })
+	p.alarm = x.after(x.drive.Now().Add(time.Duration(t.Pause)*time.Microsecond), func() { x.reroute(p) })
 }
 
 // reroute sends a parked part out again by the map that is held now.
@@ -216,7 +216,7 @@
 		return
 	}
 	a.withheld = false
-	x.events = append(x.events, choice.Outcome{ID: a.part.id, Server: a.Server, Delay: time.Since(a.sentAt).Microseconds(),
+	x.events = append(x.events, choice.Outcome{ID: a.part.id, Server: a.Server, Delay: x.drive.Now().Sub(a.sentAt).Microseconds(),
 		Closed: a.part.q.ended, Attempt: a.Index, Verdict: choice.NotSent})
 	x.post(func() {})
 }
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -66,6 +66,7 @@
 type Key struct {
 	Name, Value string
 	Line        int
+	File        string // empty: the section's
 }
 
 // Read reads a file.
@@ -182,7 +183,9 @@
 	e := &Error{File: s.File, Section: s.Name, Key: key, Line: s.Line, Problem: fmt.Sprintf(format, args...)}
 	for _, k := range s.Keys {
 		if k.Name == key {
-			e.Line = k.Line
+			if e.Line = k.Line; k.File != "" {
+				e.File = k.File
+			}
 		}
 	}
 	return e
--- /dev/null
+++ b/internal/lab/model/dist.go
@@ -0,0 +1,242 @@
+package model
+
+// Distributions of spans, most of them gonum's.
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// MostSpan bounds every span drawn: a heavy tail has no end of its own.
+const MostSpan = 10 * time.Minute
+
+// mostValues bounds an empirical distribution.
+const mostValues = 1 << 20
+
+// Dist is a distribution of spans.
+type Dist struct {
+	text string
+	mean float64 // in seconds
+	most float64
+	draw func(src rand.Source) float64 // in seconds
+}
+
+// ParseDist reads a distribution; a file counts from dir. The forms:
+//
+//	fixed SPAN
+//	exp MEAN                     exponential
+//	lognormal MEDIAN SIGMA       sigma of the logarithm (Gaddum 1945; service times: Harchol-Balter 2013, ch. 20)
+//	gamma MEAN SHAPE             shape 1 is exponential, above it is steadier
+//	pareto LEAST ALPHA           alpha above 1: below, there is no mean
+//	empirical FILE               a span on each line, drawn by the inverse of their distribution
+//
+// Each may end with "most SPAN": what is above is drawn as that.
+func ParseDist(text, dir string) (*Dist, error) {
+	f := strings.Fields(text)
+	most := MostSpan
+	if n := len(f); n > 2 && f[n-2] == "most" {
+		d, err := time.ParseDuration(f[n-1])
+		if err != nil || d <= 0 || d > MostSpan {
+			return nil, fmt.Errorf("most %q is not a span within 1ns to %v", f[n-1], MostSpan)
+		}
+		most, f = d, f[:n-2]
+	}
+	if len(f) == 0 {
+		return nil, fmt.Errorf("no distribution; there are: fixed, exp, lognormal, gamma, pareto, empirical")
+	}
+	span := func(i int) (float64, error) {
+		if i >= len(f) {
+			return 0, fmt.Errorf("%s wants a span", f[0])
+		}
+		d, err := time.ParseDuration(f[i])
+		if err != nil || d <= 0 || d > MostSpan {
+			return 0, fmt.Errorf("%q is not a span above 0 and within %v", f[i], MostSpan)
+		}
+		return d.Seconds(), nil
+	}
+	number := func(i int, least, mostOf float64) (float64, error) {
+		if i >= len(f) {
+			return 0, fmt.Errorf("%s wants a number behind the span", f[0])
+		}
+		v, err := strconv.ParseFloat(f[i], 64)
+		if err != nil || !(v >= least && v <= mostOf) {
+			return 0, fmt.Errorf("%q is not a number within %v to %v", f[i], least, mostOf)
+		}
+		return v, nil
+	}
+	want := map[string]int{"fixed": 2, "exp": 2, "lognormal": 3, "gamma": 3, "pareto": 3, "empirical": 2}[f[0]]
+	if want == 0 {
+		return nil, fmt.Errorf("%q is no distribution; there are: fixed, exp, lognormal, gamma, pareto, empirical", f[0])
+	}
+	if len(f) > want {
+		return nil, fmt.Errorf("%q is too much behind %s", f[want], f[0])
+	}
+	d := &Dist{text: text, most: most.Seconds()}
+	if f[0] == "empirical" {
+		if len(f) < 2 {
+			return nil, fmt.Errorf("empirical wants a file")
+		}
+		return d, d.empirical(f[1], dir)
+	}
+	a, err := span(1)
+	if err != nil {
+		return nil, err
+	}
+	switch f[0] {
+	case "fixed":
+		d.mean, d.draw = a, func(rand.Source) float64 { return a }
+	case "exp":
+		d.mean, d.draw = a, func(s rand.Source) float64 { return distuv.Exponential{Rate: 1 / a, Src: s}.Rand() }
+	case "lognormal":
+		sigma, err := number(2, 0, 5)
+		if err != nil {
+			return nil, err
+		}
+		mu := math.Log(a)
+		d.mean = math.Exp(mu + sigma*sigma/2)
+		d.draw = func(s rand.Source) float64 { return distuv.LogNormal{Mu: mu, Sigma: sigma, Src: s}.Rand() }
+	case "gamma":
+		shape, err := number(2, 0.05, 1000)
+		if err != nil {
+			return nil, err
+		}
+		d.mean, d.draw = a, func(s rand.Source) float64 { return distuv.Gamma{Alpha: shape, Beta: shape / a, Src: s}.Rand() }
+	case "pareto":
+		alpha, err := number(2, 1.01, 100)
+		if err != nil {
+			return nil, err
+		}
+		d.mean = alpha * a / (alpha - 1)
+		d.draw = func(s rand.Source) float64 { return distuv.Pareto{Xm: a, Alpha: alpha, Src: s}.Rand() }
+	}
+	return d, nil
+}
+
+func (d *Dist) empirical(file, dir string) error {
+	if !strings.HasPrefix(file, "/") && dir != "" {
+		file = dir + "/" + file
+	}
+	h, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer h.Close()
+	var values []float64
+	lines := bufio.NewScanner(h)
+	for n := 1; lines.Scan(); n++ {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		v, err := time.ParseDuration(line)
+		if err != nil || v < 0 || v > MostSpan {
+			return fmt.Errorf("%s:%d: %.40q is not a span within 0 to %v", file, n, line, MostSpan)
+		}
+		if values = append(values, v.Seconds()); len(values) > mostValues {
+			return fmt.Errorf("%s:%d: more than %d values", file, n, mostValues)
+		}
+		d.mean += v.Seconds()
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	if len(values) == 0 {
+		return fmt.Errorf("%s: no values", file)
+	}
+	d.mean /= float64(len(values))
+	sort.Float64s(values)
+	d.draw = func(s rand.Source) float64 {
+		at := unit(s.Uint64()) * float64(len(values)-1)
+		i := int(at)
+		if i+1 >= len(values) {
+			return values[len(values)-1]
+		}
+		return values[i] + (values[i+1]-values[i])*(at-float64(i))
+	}
+	return nil
+}
+
+func (d *Dist) String() string { return d.text }
+
+// Mean is the distribution's mean; what "most" cuts off is not left out of it.
+func (d *Dist) Mean() time.Duration { return time.Duration(d.mean * float64(time.Second)) }
+
+// Draw draws a span.
+func (d *Dist) Draw(src rand.Source) time.Duration {
+	return time.Duration(min(max(d.draw(src), 0), d.most) * float64(time.Second))
+}
+
+// Work is what the parts of a class cost a server of speed 1.
+type Work struct {
+	Dist       *Dist
+	QuerySigma float64 // of the logarithm of a factor that all parts of a query share
+	Seed       uint64
+
+	pcg rand.PCG
+}
+
+// Of draws the work of a part: the same for every try of the same ask, at every
+// server and on both drives. The parts of one query share a factor, so that a heavy
+// query is heavy everywhere (correlated parts); its mean is 1.
+func (w *Work) Of(ask, shard string) time.Duration {
+	w.pcg.Seed(w.Seed, Mix(w.Seed, ask, shard))
+	d := w.Dist.Draw(&w.pcg)
+	if w.QuerySigma > 0 {
+		w.pcg.Seed(w.Seed, Mix(w.Seed, ask))
+		z := distuv.Normal{Sigma: 1, Src: &w.pcg}.Rand()
+		d = time.Duration(float64(d) * math.Exp(w.QuerySigma*z-w.QuerySigma*w.QuerySigma/2))
+	}
+	return min(max(d, time.Microsecond), MostSpan)
+}
+
+// Zipf draws one of n with the chance of rank k in proportion to 1/k^skew
+// (Zipf 1949; Breslau et al. 1999 for requests); skew 0 is even. Which one has
+// which rank is drawn from the seed.
+type Zipf struct {
+	upTo  []float64 // the chance of all ranks up to this one
+	order []int
+}
+
+// NewZipf returns a Zipf over n.
+func NewZipf(n int, skew float64, seed uint64) *Zipf {
+	z := &Zipf{upTo: make([]float64, n), order: Rand(seed, "zipf").Perm(n)}
+	sum := 0.0
+	for k := range n {
+		sum += math.Pow(float64(k+1), -skew)
+		z.upTo[k] = sum
+	}
+	for k := range n {
+		z.upTo[k] /= sum
+	}
+	return z
+}
+
+// Draw draws so many different ones, at most all.
+func (z *Zipf) Draw(r *rand.Rand, count int) []int {
+	n := len(z.upTo)
+	count = min(count, n)
+	out := make([]int, 0, count)
+	seen := make(map[int]bool, count)
+	for tries := 0; len(out) < count; tries++ {
+		k := min(sort.SearchFloat64s(z.upTo, r.Float64()), n-1)
+		if tries > 20*count { // the rest are rare: the next one not yet drawn
+			for seen[z.order[k]] {
+				k = (k + 1) % n
+			}
+		}
+		if s := z.order[k]; !seen[s] {
+			seen[s] = true
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/model/fault.go
@@ -0,0 +1,189 @@
+package model
+
+// Faults: a script of what goes wrong, drawn out into a list of changes before the
+// run begins, so that both drives play the same one.
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// What a fault does.
+const (
+	Die     = "die"     // the process ends: connections are reset, new ones refused
+	Vanish  = "vanish"  // the machine is gone: nothing is heard, nothing reset
+	Hang    = "hang"    // takes parts and answers none
+	Slow    = "slow"    // works slower by a factor
+	Fail    = "fail"    // answers err at once
+	Full    = "busy"    // turns away
+	Pause   = "pause"   // stops the world: no work, no answer; connections stay
+	Drain   = "drain"   // the list says so; it is gone at the end, or serves on
+	Release = "release" // drains, ends and starts again, one after the other
+	Cut     = "cut"     // a way between sites carries nothing
+	Late    = "list-late"
+	Lie     = "list-lie"    // the list drops servers that are well
+	Mute    = "list-silent" // the list says nothing
+	Kill    = "kill-mixer"
+	Restart = "restart-mixer" // as planned: it ends what it has
+)
+
+// Kinds of faults, for those who read them.
+var FaultKinds = []string{Die, Vanish, Hang, Slow, Fail, Full, Pause, Drain, Release, Cut, Late, Lie, Mute, Kill, Restart}
+
+// OnMixers tells whether a fault is one of mixers, OnList of the list.
+func OnMixers(do string) bool { return do == Kill || do == Restart }
+
+// OnList tells whether a fault is one of the list as a whole.
+func OnList(do string) bool { return do == Late || do == Mute }
+
+// Fault is one fault of a script.
+type Fault struct {
+	Name   string
+	Do     string
+	At     time.Duration
+	For    time.Duration // 0: to the end
+	Every  time.Duration // again and again, from one begin to the next; 0: once
+	Times  int           // at most so often; 0: until the end
+	Chance float64       // that each time comes to pass; above 0
+	Among  []int         // servers or mixers it may hit
+	Share  float64       // of these, drawn anew each time
+	Apart  time.Duration // between one and the next that it hits
+	Class  string        // hang, fail: "" is all
+	Part   float64       // hang, fail: share of the parts
+	Factor float64       // slow
+	Warm   bool          // die, vanish, release: back warm
+	From   int           // cut
+	To     int           // cut
+	Both   bool          // cut
+	Extra  time.Duration // list-late: so much later; release: from the drain to the end of the process
+}
+
+// steps are the faults that one stands for, with how much later each begins.
+func (f *Fault) steps() ([]*Fault, []time.Duration) {
+	if f.Do != Release {
+		return []*Fault{f}, []time.Duration{0}
+	}
+	drain, die := *f, *f
+	drain.Do, die.Do = Drain, Die
+	return []*Fault{&drain, &die}, []time.Duration{0, f.Extra}
+}
+
+// Change is one step of a script: a fault takes hold of something, or lets it go.
+type Change struct {
+	At     time.Duration
+	On     bool
+	Target int // server or mixer; -1: none
+	*Fault
+}
+
+func (c Change) String() string {
+	what := c.Do
+	if !c.On {
+		what = "end of " + c.Do
+	}
+	return fmt.Sprintf("%s: %s", c.Name, what)
+}
+
+// mostChanges bounds a script.
+const mostChanges = 1 << 20
+
+// Script draws the faults out over a run of that length.
+func Script(faults []*Fault, seed uint64, length time.Duration) ([]Change, error) {
+	var out []Change
+	for _, f := range faults {
+		r := Rand(seed, "fault", f.Name)
+		times := 0
+		for at := f.At; at < length; at += f.Every {
+			if times++; f.Times > 0 && times > f.Times {
+				break
+			}
+			hits := r.Float64() < f.Chance
+			targets := []int{-1}
+			if len(f.Among) > 0 {
+				n := max(int(float64(len(f.Among))*f.Share+0.5), 1)
+				targets = targets[:0]
+				for _, i := range r.Perm(len(f.Among))[:min(n, len(f.Among))] {
+					targets = append(targets, f.Among[i])
+				}
+				slices.Sort(targets)
+			}
+			for i, target := range targets {
+				begin := at + time.Duration(i)*f.Apart
+				if !hits || begin >= length {
+					continue
+				}
+				steps, later := f.steps()
+				for k, s := range steps {
+					out = append(out, Change{At: begin + later[k], On: true, Target: target, Fault: s})
+					if f.For > 0 {
+						out = append(out, Change{At: begin + max(f.For, later[k]), Target: target, Fault: s})
+					}
+				}
+				if len(out) > mostChanges {
+					return nil, fmt.Errorf("fault %s: the script has more than %d changes", f.Name, mostChanges)
+				}
+			}
+			if f.Every <= 0 {
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Change) int { return cmp.Compare(a.At, b.At) })
+	return out, nil
+}
+
+// Strike has a change take hold of a server, or let it go. It tells whether the
+// change was one of a server's at all; drains are the list's.
+func (s *Server) Strike(c Change) bool {
+	e := &s.Effects
+	step := 1
+	if !c.On {
+		step = -1
+	}
+	switch c.Do {
+	case Die, Vanish:
+		e.Dead += step
+		if c.On {
+			s.Die()
+		} else {
+			s.Start(!c.Warm)
+		}
+	case Pause:
+		e.Paused += step
+	case Full:
+		e.Busy += step
+	case Slow:
+		if e.Slow <= 0 {
+			e.Slow = 1
+		}
+		if c.On {
+			e.Slow *= c.Factor
+		} else if e.Slow /= c.Factor; e.Slow < 1.0000001 && e.Slow > 0.9999999 {
+			e.Slow = 1
+		}
+	case Hang:
+		e.Hang = hit(e.Hang, c)
+	case Fail:
+		e.Fail = hit(e.Fail, c)
+	default:
+		return false
+	}
+	s.Changed()
+	return true
+}
+
+// hit adds a fault's share to what holds for its class, or takes it back. Shares of
+// faults that overlap add up.
+func hit(m map[string]float64, c Change) map[string]float64 {
+	if m == nil {
+		m = make(map[string]float64)
+	}
+	if c.On {
+		m[c.Class] += c.Part
+	} else if m[c.Class] -= c.Part; m[c.Class] < 1e-9 {
+		delete(m, c.Class)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/lab/model/list.go
@@ -0,0 +1,123 @@
+package model
+
+// The server list as discovery tells it: late, in order, sometimes silent or wrong.
+
+import "time"
+
+// Standing is what the list says of a server.
+type Standing int
+
+// The standings.
+const (
+	Serving Standing = iota
+	Draining
+	Deleted
+)
+
+// Entry is news of one server.
+type Entry struct {
+	Server   int
+	Standing Standing
+	Since    time.Duration // its last start; below 0: long ago
+}
+
+// List is a discovery service's view. It knows of processes that run, drain or are
+// gone; that one has died it notes after Notice.
+type List struct {
+	Sched  Sched
+	Lag    time.Duration // until news is told
+	Jitter time.Duration // mean of an exponential added to it
+	Notice time.Duration
+	Tell   func([]Entry)
+	Luck   func() float64 // exponential, mean 1
+
+	now   []Entry // as it would be told
+	lies  map[int]int
+	drain map[int]int
+	gone  map[int]bool
+	extra time.Duration
+	mute  int
+	held  []Entry // while it is mute
+	last  time.Duration
+}
+
+// Begin starts a list of so many servers, all serving for long.
+func (l *List) Begin(servers int) {
+	l.lies, l.drain, l.gone = make(map[int]int), make(map[int]int), make(map[int]bool)
+	for i := range servers {
+		l.now = append(l.now, Entry{Server: i, Since: -1})
+	}
+}
+
+// Whole is the list as it is now.
+func (l *List) Whole() []Entry { return l.now }
+
+// Down notes that a process has ended; Up that it runs.
+func (l *List) Down(server int) {
+	l.Sched.After(l.Notice, func() {
+		if l.gone[server] {
+			l.put(server)
+		}
+	})
+	l.gone[server] = true
+}
+
+// Up notes that a process runs since now.
+func (l *List) Up(server int) {
+	delete(l.gone, server)
+	l.now[server].Since = l.Sched.Now()
+	l.put(server)
+}
+
+// Strike has a change take hold of the list, or let it go.
+func (l *List) Strike(c Change) {
+	step := 1
+	if !c.On {
+		step = -1
+	}
+	switch c.Do {
+	case Drain:
+		l.drain[c.Target] += step
+		l.put(c.Target)
+	case Lie:
+		l.lies[c.Target] += step
+		l.put(c.Target)
+	case Late:
+		l.extra += time.Duration(step) * c.Extra
+	case Mute:
+		if l.mute += step; l.mute == 0 {
+			held := l.held
+			l.held = nil
+			l.tell(held)
+		}
+	}
+}
+
+// put tells what holds of a server, if that is new.
+func (l *List) put(server int) {
+	e := Entry{Server: server, Since: l.now[server].Since}
+	switch {
+	case l.lies[server] > 0 || l.gone[server]:
+		e.Standing = Deleted
+	case l.drain[server] > 0:
+		e.Standing = Draining
+	}
+	l.now[server] = e
+	if l.mute > 0 {
+		l.held = append(l.held, e)
+		return
+	}
+	l.tell([]Entry{e})
+}
+
+func (l *List) tell(news []Entry) {
+	if len(news) == 0 {
+		return
+	}
+	at := l.Sched.Now() + l.Lag + l.extra
+	if l.Jitter > 0 {
+		at += time.Duration(l.Luck() * float64(l.Jitter))
+	}
+	l.last = max(l.last, at) // news never overtakes what came before it
+	l.Sched.After(l.last-l.Sched.Now(), func() { l.Tell(news) })
+}
--- /dev/null
+++ b/internal/lab/record/record.go
@@ -0,0 +1,258 @@
+// Package record is what a run leaves behind: a row for each ask, for each server
+// and second, and for the run, in Parquet; and what a person reads of it. It owns
+// the schema (docs/reference/results.md) and the run folder. It must never average
+// percentiles, nor let a figure that hangs on the machine into what is compared
+// byte by byte.
+package record
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"saddleport/internal/lab/judge"
+	"saddleport/internal/lab/model"
+	"saddleport/internal/lab/scenario"
+)
+
+// Query is the row of one ask: one client's wish, over all its tries. Times are in
+// microseconds from the run's begin.
+type Query struct {
+	ID       string  `parquet:"id"`
+	Class    string  `parquet:"class,dict"`
+	Due      int64   `parquet:"due_us"`
+	Took     int64   `parquet:"took_us"` // from due to the end: what a closed loop would leave out is in it
+	Tries    int32   `parquet:"tries"`
+	Attempts int32   `parquet:"attempts"` // of its parts, at leaf servers
+	Outcome  string  `parquet:"outcome,dict"`
+	Whole    bool    `parquet:"whole"`
+	Share    float64 `parquet:"share"`
+	Earned   float64 `parquet:"earned"` // of Value
+	Value    float64 `parquet:"value"`
+	Counts   bool    `parquet:"counts"` // it was due after the warm-up
+}
+
+// Second is the row of one server in one second.
+type Second struct {
+	Second   int32   `parquet:"second"`
+	Server   string  `parquet:"server,dict"`
+	Site     string  `parquet:"site,dict"`
+	Cell     int32   `parquet:"cell"`
+	Up       bool    `parquet:"up"`
+	Capacity float64 `parquet:"capacity_share"` // of its own, for being cold
+	Taken    int32   `parquet:"taken"`
+	Served   int32   `parquet:"served"`
+	Failed   int32   `parquet:"failed"`
+	Busy     int32   `parquet:"turned_away"`
+	Held     int32   `parquet:"held_most"`
+	Running  int32   `parquet:"running"`
+	Work     int64   `parquet:"work_us"` // done, in core time of speed 1
+}
+
+// Summary is the row of a run. What hangs on the machine stands in Machine.
+type Summary struct {
+	Scenario  string  `parquet:"scenario"`
+	Variation string  `parquet:"variation"`
+	Drive     string  `parquet:"drive"`
+	Policy    string  `parquet:"policy"`
+	Seed      int64   `parquet:"seed"`
+	Goodput   float64 `parquet:"goodput"` // value earned over value asked for
+	Asked     int64   `parquet:"asked"`
+	Queries   int64   `parquet:"queries"` // tries
+	Answered  int64   `parquet:"answered"`
+	Whole     int64   `parquet:"whole"`
+	Refused   int64   `parquet:"refused"`
+	Failed    int64   `parquet:"failed"`
+	Parts     int64   `parquet:"parts"` // attempts at leaf servers
+	P50       int64   `parquet:"p50_us"`
+	P99       int64   `parquet:"p99_us"`
+	P999      int64   `parquet:"p999_us"`
+	Lost      int64   `parquet:"lost"`
+	Late      int64   `parquet:"late"`
+	Doubled   int64   `parquet:"doubled"`
+	Wrong     int64   `parquet:"wrong"`
+	Drained   int64   `parquet:"drained"`
+	Capped    int64   `parquet:"capped"`
+	Pushed    int64   `parquet:"pushed"`
+}
+
+// Class is what became of one class.
+type Class struct {
+	Name             string
+	Asked, Tries     int64
+	Answered, Whole  int64
+	Refused, Failed  int64
+	Left             int64
+	Goodput          float64
+	P50, P90, P99    time.Duration // of the answered, from the time they were due
+	P999, Max        time.Duration
+	P99All           time.Duration // of all, one that was not answered taken for its whole patience
+	value, earned    float64
+	answered, everyc *hdrhistogram.Histogram
+}
+
+// Event is something that happened.
+type Event struct {
+	At   time.Duration
+	Text string
+}
+
+// Machine is what a run cost; it is never compared byte by byte.
+type Machine struct {
+	Wall    time.Duration
+	Events  int64 // of virtual time
+	PeakMiB int64
+	Threads int
+	Cores   float64 // taken by the mixers, real drive
+	Files   int     // of a mixer at most, real drive
+}
+
+// Run is all that a run left.
+type Run struct {
+	Summary Summary
+	Classes []Class
+	Verdict *judge.Verdict
+	Queries []Query
+	Seconds []Second
+	Events  []Event
+	Broken  []string // what else went wrong: a mixer that died by itself, a queue of the rig's that was full
+	Machine Machine
+	Expect  scenario.Expect
+	Length  time.Duration
+	Warmup  time.Duration
+}
+
+// Pass tells whether no rule was broken, but for a scenario that is to show one
+// broken, and what it expects came about.
+func (r *Run) Pass() bool { return len(r.Unmet()) == 0 }
+
+// Unmet says what failed a run.
+func (r *Run) Unmet() []string {
+	out := slices.Clone(r.Broken)
+	broken := r.Verdict.Broken()
+	switch {
+	case r.Expect.Broken > 0 && broken < r.Expect.Broken:
+		out = append(out, "the scenario is to show a broken rule, and the judge saw none")
+	case r.Expect.Broken == 0 && broken > 0:
+		out = append(out, "rules were broken")
+	}
+	if r.Summary.Goodput < r.Expect.Goodput {
+		out = append(out, "the goodput is below the least that the scenario expects")
+	}
+	return out
+}
+
+// Recorder gathers a run. One goroutine at a time may use it.
+type Recorder struct {
+	plan *scenario.Plan
+	keep bool
+	run  *Run
+	by   map[string]*Class
+}
+
+// New returns a recorder; keep has it keep the rows of asks and seconds.
+func New(p *scenario.Plan, drive, policy string, keep bool) *Recorder {
+	r := &Recorder{plan: p, keep: keep, by: make(map[string]*Class), run: &Run{Expect: p.Expect, Length: p.Length, Warmup: p.Warmup}}
+	r.run.Summary = Summary{Scenario: p.Name, Variation: scenario.Label(p.Values), Drive: drive, Policy: policy, Seed: int64(p.Draw)}
+	for _, c := range p.Scenario.Classes {
+		most := int64((c.Patience + 10*time.Second) / time.Microsecond)
+		r.by[c.Name] = &Class{Name: c.Name, answered: hdrhistogram.New(1, most, 3), everyc: hdrhistogram.New(1, most, 3)}
+	}
+	return r
+}
+
+// Over notes an ask that is over.
+func (r *Recorder) Over(a *model.Ask, attempts int) {
+	counts := a.Due >= r.plan.Window[0] && a.Due < r.plan.Window[1]
+	took := max((a.Ended - a.Due).Microseconds(), 1)
+	if r.keep {
+		r.run.Queries = append(r.run.Queries, Query{ID: a.ID, Class: a.Class.Name, Due: a.Due.Microseconds(), Took: took, Tries: int32(a.Tries),
+			Attempts: int32(attempts), Outcome: a.Outcome.Kind.String(), Whole: a.Outcome.Whole, Share: a.Outcome.Share, Earned: a.Earned * a.Class.Value,
+			Value: a.Class.Value, Counts: counts})
+	}
+	if !counts {
+		return
+	}
+	c := r.by[a.Class.Name]
+	c.Asked++
+	c.Tries += int64(a.Tries)
+	c.value += a.Class.Value
+	c.earned += a.Earned * a.Class.Value
+	switch a.Outcome.Kind {
+	case model.Answered:
+		c.Answered++
+		if a.Outcome.Whole {
+			c.Whole++
+		}
+		c.answered.RecordValue(took)
+		c.everyc.RecordValue(took)
+	default:
+		if c.everyc.RecordValue(a.Class.Patience.Microseconds()); a.Outcome.Kind == model.Refused {
+			c.Refused++
+		} else if a.Outcome.Kind == model.Left {
+			c.Left++
+		} else {
+			c.Failed++
+		}
+	}
+}
+
+// Look notes what a server did in a second.
+func (r *Recorder) Look(second int, s *model.Spec, st model.Stats) {
+	if !r.keep {
+		return
+	}
+	r.run.Seconds = append(r.run.Seconds, Second{Second: int32(second), Server: s.Name, Site: s.Site, Cell: int32(s.Cell), Up: st.Up, Capacity: st.Share,
+		Taken: int32(st.Taken), Served: int32(st.Served), Failed: int32(st.Failed), Busy: int32(st.Busy), Held: int32(st.MostHeld),
+		Running: int32(st.Running), Work: st.Work.Microseconds()})
+}
+
+// Event notes something that happened.
+func (r *Recorder) Event(at time.Duration, text string) {
+	r.run.Events = append(r.run.Events, Event{at, text})
+}
+
+// Broke notes what else went wrong.
+func (r *Recorder) Broke(text string) { r.run.Broken = append(r.run.Broken, text) }
+
+// Done closes the record.
+func (r *Recorder) Done(v *judge.Verdict) *Run {
+	run, s := r.run, &r.run.Summary
+	run.Verdict = v
+	all, value, earned := hdrhistogram.New(1, int64(20*time.Minute/time.Microsecond), 3), 0.0, 0.0
+	for _, c := range r.plan.Scenario.Classes {
+		x := r.by[c.Name]
+		q := func(h *hdrhistogram.Histogram, p float64) time.Duration {
+			return time.Duration(h.ValueAtQuantile(p)) * time.Microsecond
+		}
+		x.P50, x.P90, x.P99, x.P999, x.Max = q(x.answered, 50), q(x.answered, 90), q(x.answered, 99), q(x.answered, 99.9), q(x.answered, 100)
+		x.P99All = q(x.everyc, 99)
+		if x.value > 0 {
+			x.Goodput = x.earned / x.value
+		}
+		all.Merge(x.answered)
+		value, earned = value+x.value, earned+x.earned
+		s.Asked += x.Asked
+		s.Answered += x.Answered
+		s.Whole += x.Whole
+		s.Refused += x.Refused
+		s.Failed += x.Failed + x.Left
+		run.Classes = append(run.Classes, *x)
+	}
+	if value > 0 {
+		s.Goodput = earned / value
+	}
+	s.P50, s.P99, s.P999 = all.ValueAtQuantile(50), all.ValueAtQuantile(99), all.ValueAtQuantile(99.9)
+	s.Queries, s.Lost, s.Late, s.Doubled, s.Wrong = int64(v.Queries), int64(v.Lost), int64(v.Late), int64(v.Doubled), int64(v.Wrong)
+	s.Drained, s.Capped, s.Pushed = int64(v.Drained), int64(v.Capped), int64(v.Pushed)
+	for _, t := range v.Classes {
+		s.Parts += int64(t.Parts)
+	}
+	// The rows in an order of their own: on the real drive they come as they may.
+	slices.SortFunc(run.Queries, func(a, b Query) int { return cmp.Or(cmp.Compare(a.Due, b.Due), strings.Compare(a.ID, b.ID)) })
+	slices.SortStableFunc(run.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return run
+}
--- /dev/null
+++ b/internal/lab/scenario/plan.go
@@ -0,0 +1,437 @@
+package scenario
+
+// This file checks what the sections say together, and draws a scenario out into a
+// plan: servers, ways, classes, changes.
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"saddleport/internal/inifile"
+	"saddleport/internal/lab/model"
+)
+
+// What a run may ask for at most.
+const (
+	MostServers = 20_000
+	MostQueries = 50_000_000
+	MostParts   = 400_000_000
+)
+
+func decode(file string, doc *inifile.Doc) (*Scenario, error) {
+	s := &Scenario{File: file, doc: doc}
+	for _, into := range []any{&s.Mixers, &s.Settings, &s.Network, &s.Clients, &s.Load, &s.List, &s.Expect} {
+		inifile.Default(into)
+	}
+	main := Group{Name: "fleet"}
+	inifile.Default(&main)
+	at := make(map[string]*inifile.Section)
+	var groups []Group
+	for _, sec := range doc.Sections {
+		at[sec.Name] = sec
+		var err error
+		switch sec.Name {
+		case "scenario":
+			err = sec.Decode(&s.Main)
+		case "mixers":
+			err = sec.Decode(&s.Mixers)
+		case "settings":
+			err = sec.Decode(&s.Settings)
+		case "fleet":
+			err = sec.Decode(&main)
+		case "network":
+			err = sec.Decode(&s.Network)
+		case "clients":
+			err = sec.Decode(&s.Clients)
+		case "load":
+			if err = sec.Decode(&s.Load); err == nil {
+				if _, bad := model.ParseCurve(s.Load.Curve); bad != nil {
+					err = sec.Fault("curve", "%v", bad)
+				}
+			}
+		case "list":
+			err = sec.Decode(&s.List)
+		case "expect":
+			err = sec.Decode(&s.Expect)
+		default:
+			if sec.Label == "" {
+				return nil, unknown(sec)
+			}
+			switch sec.Kind {
+			case "group":
+				g := Group{Name: sec.Label}
+				err = sec.Decode(&g)
+				for _, k := range []string{"cells", "width", "shards"} {
+					if err == nil && sec.Has(k) {
+						err = sec.Fault(k, "is [fleet]'s alone")
+					}
+				}
+				groups = append(groups, g)
+			case "link":
+				l := Link{}
+				var more string
+				l.From, l.To, _ = strings.Cut(sec.Label, " ")
+				if l.To, more, _ = strings.Cut(l.To, " "); l.To == "" || more != "" {
+					return nil, sec.Fault("", "a link is [link SITE SITE]")
+				}
+				err = sec.Decode(&l)
+				s.Links = append(s.Links, l)
+			case "class":
+				c := Class{Name: sec.Label}
+				if err = sec.Decode(&c); err == nil {
+					err = c.check(sec)
+				}
+				s.Classes = append(s.Classes, c)
+			case "burst":
+				b := Burst{Name: sec.Label}
+				err = sec.Decode(&b)
+				s.Bursts = append(s.Bursts, b)
+			case "fault":
+				f := Fault{Name: sec.Label}
+				err = sec.Decode(&f)
+				s.Faults = append(s.Faults, f)
+			default:
+				return nil, unknown(sec)
+			}
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	s.Groups = append([]Group{main}, groups...)
+	if at["scenario"] == nil {
+		return nil, &inifile.Error{File: file, Problem: "no section [scenario]"}
+	}
+	if len(s.Classes) == 0 {
+		return nil, &inifile.Error{File: file, Problem: "no section [class NAME]: there would be no load"}
+	}
+	if err := s.check(at); err != nil {
+		return nil, err
+	}
+	_, err := s.Plan(uint64(s.Seed))
+	return s, err
+}
+
+func unknown(sec *inifile.Section) error {
+	return sec.Fault("", "no such section; there are: include, vary, scenario, mixers, settings, fleet, group NAME, network, link A B, clients, class NAME, load, burst NAME, list, fault NAME, expect")
+}
+
+func (c *Class) check(sec *inifile.Section) error {
+	dir := filepath.Dir(sec.File)
+	switch {
+	case c.Floor > c.Need:
+		return sec.Fault("floor", "%v is above need, %v", c.Floor, c.Need)
+	case c.Aim > c.Patience:
+		return sec.Fault("aim", "%v is above patience, %v", c.Aim, c.Patience)
+	case strings.ContainsAny(c.Name, " .,/"):
+		return sec.Fault("", "a class has a name of one word, without . , /")
+	}
+	if _, err := model.ParseDist(c.Work, dir); err != nil {
+		return sec.Fault("work", "%v", err)
+	}
+	if _, err := model.ParseDist(c.Leave, dir); err != nil {
+		return sec.Fault("leave", "%v", err)
+	}
+	return nil
+}
+
+// check looks at what sections say of each other.
+func (s *Scenario) check(at map[string]*inifile.Section) error {
+	or := func(name string) *inifile.Section {
+		if at[name] != nil {
+			return at[name]
+		}
+		return at["scenario"]
+	}
+	f := &s.Groups[0]
+	site := func(sec *inifile.Section, key, name string) error {
+		if !slices.Contains(s.Network.Sites, name) {
+			return sec.Fault(key, "%q is none of the sites: %s", name, strings.Join(s.Network.Sites, ", "))
+		}
+		return nil
+	}
+	if len(s.Network.Sites) == 0 {
+		return or("network").Fault("sites", "there must be one")
+	}
+	if s.Warmup >= s.Length {
+		return or("scenario").Fault("warmup", "%v is not before the end, %v", s.Warmup, s.Length)
+	}
+	if f.Width > f.Cells {
+		return or("fleet").Fault("width", "%d is more than there are cells, %d", f.Width, f.Cells)
+	}
+	servers := 0
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		servers += f.Cells * g.Replicas
+		if g.Site != "" {
+			name := "group " + g.Name
+			if i == 0 {
+				name = "fleet"
+			}
+			if err := site(at[name], "site", g.Site); err != nil {
+				return err
+			}
+		}
+	}
+	if servers < 1 || servers > MostServers {
+		return or("fleet").Fault("replicas", "%d servers in all, not within 1 to %d", servers, MostServers)
+	}
+	for _, l := range s.Links {
+		for _, name := range []string{l.From, l.To} {
+			if err := site(at["link "+l.From+" "+l.To], "", name); err != nil {
+				return err
+			}
+		}
+	}
+	curve, _ := model.ParseCurve(s.Load.Curve)
+	queries, parts := 0.0, 0.0
+	for _, c := range s.Classes {
+		q := c.Rate * s.Rate * s.Length.Seconds() * curve.Most()
+		for _, b := range s.Bursts {
+			if b.Class == "" || b.Class == c.Name {
+				q *= max(b.Factor*min(b.For.Seconds()/s.Length.Seconds(), 1), 1)
+			}
+		}
+		queries, parts = queries+q, parts+q*float64(c.Parts)
+		if queries > MostQueries || parts > MostParts {
+			return at["class "+c.Name].Fault("rate", "the run would have %.3g queries of %.3g parts by this class; at most %.0e and %.0e", queries, parts, float64(MostQueries), float64(MostParts))
+		}
+	}
+	for _, b := range s.Bursts {
+		if b.Class != "" && !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == b.Class }) {
+			return at["burst "+b.Name].Fault("class", "there is no class %q", b.Class)
+		}
+	}
+	for _, x := range s.Faults {
+		sec := at["fault "+x.Name]
+		if x.Class != "" && !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == x.Class }) {
+			return sec.Fault("class", "there is no class %q", x.Class)
+		}
+		if x.At >= s.Length {
+			return sec.Fault("at", "%v is not before the end, %v", x.At, s.Length)
+		}
+		if x.Every > 0 && x.For == 0 {
+			return sec.Fault("for", "with every it must be given")
+		}
+		if x.Do == model.Release && x.For < x.Extra {
+			return sec.Fault("for", "%v ends before the process does, %v after the drain", x.For, x.Extra)
+		}
+		if _, err := s.fault(x, s.specs(1)); err != nil {
+			return sec.Fault("who", "%v", err)
+		}
+	}
+	return nil
+}
+
+// Plan is a scenario drawn out with a seed.
+type Plan struct {
+	*Scenario
+	Draw    uint64 // the seed
+	Servers []model.Spec
+	Changes []model.Change
+	Classes []*model.Class
+	Work    map[string]*model.Work
+	Window  [2]time.Duration // what is due within counts
+}
+
+// Plan draws the scenario out.
+func (s *Scenario) Plan(seed uint64) (*Plan, error) {
+	p := &Plan{Scenario: s, Draw: seed, Servers: s.specs(seed), Work: make(map[string]*model.Work), Window: [2]time.Duration{s.Warmup, s.Length}}
+	var faults []*model.Fault
+	for _, x := range s.Faults {
+		f, err := s.fault(x, p.Servers)
+		if err != nil {
+			return nil, err
+		}
+		faults = append(faults, f)
+	}
+	var err error
+	if p.Changes, err = model.Script(faults, seed, s.Length); err != nil {
+		return nil, &inifile.Error{File: s.File, Problem: err.Error()}
+	}
+	curve, err := model.ParseCurve(s.Load.Curve)
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range s.Classes {
+		dir := filepath.Dir(s.File)
+		work, err := model.ParseDist(c.Work, dir)
+		if err != nil {
+			return nil, err
+		}
+		leave, err := model.ParseDist(c.Leave, dir)
+		if err != nil {
+			return nil, err
+		}
+		m := &model.Class{Name: c.Name, Parts: c.Parts, Spread: c.Spread, Aim: c.Aim, Patience: c.Patience, Impatient: c.Impatient, Leave: leave,
+			Unsafe: c.Effect != "free", Value: c.Value, Need: c.Need, Floor: c.Floor, Partial: c.Partial, LateWorth: c.Late,
+			Zipf: model.NewZipf(s.Groups[0].Shards, c.Zipf, seed)}
+		m.Arrivals = model.Arrivals{Rate: c.Rate * s.Rate, Curve: curve}
+		for _, b := range s.Bursts {
+			if b.Class == "" || b.Class == c.Name {
+				m.Arrivals.Bursts = append(m.Arrivals.Bursts, model.Burst{At: b.At, For: b.For, Factor: b.Factor})
+			}
+		}
+		if c.Trace != "" {
+			if m.Arrivals.Trace, err = model.ReadTrace(filepath.Join(dir, c.Trace)); err != nil {
+				return nil, err
+			}
+		}
+		p.Classes = append(p.Classes, m)
+		p.Work[c.Name] = &model.Work{Dist: work, QuerySigma: c.Sigma, Seed: seed}
+	}
+	return p, nil
+}
+
+// specs names the servers: s-CELL-REPLICA, and NAME-CELL-REPLICA in a group.
+func (s *Scenario) specs(seed uint64) []model.Spec {
+	var out []model.Spec
+	f := s.Groups[0]
+	for cell := range f.Cells {
+		n := 0
+		for _, g := range s.Groups {
+			for r := range g.Replicas {
+				prefix := "s"
+				if g.Name != "fleet" {
+					prefix = g.Name
+				}
+				name := fmt.Sprintf("%s-%d-%d", prefix, cell, r)
+				site := g.Site
+				if site == "" {
+					site = s.Network.Sites[(cell+n)%len(s.Network.Sites)]
+				}
+				speed := g.Speed * (1 + g.SpeedLike*(2*model.Luck(seed, "speed", name)-1))
+				out = append(out, model.Spec{Name: name, Site: site, Group: g.Name, Cell: cell, Cores: g.Cores, Speed: speed, Slots: g.Slots,
+					Room: g.Room, Queue: model.Discipline(g.Queue), Knee: g.Knee, Loss: g.Loss, StopsGivenUp: g.Stops, Handshake: g.Handshake, Seed: seed,
+					Cold: model.Cold{Share: g.ColdShare, Time: g.ColdTime, Work: g.ColdWork, Multiple: g.ColdMost, Window: g.ColdSpan, Down: g.ColdDown}})
+				n++
+			}
+		}
+	}
+	return out
+}
+
+func (s *Scenario) fault(x Fault, servers []model.Spec) (*model.Fault, error) {
+	f := &model.Fault{Name: x.Name, Do: x.Do, At: x.At, For: x.For, Every: x.Every, Times: x.Times, Chance: x.Chance, Share: x.Share, Apart: x.Apart,
+		Class: x.Class, Part: x.Part, Factor: x.Factor, Warm: x.Warm, Both: x.Both, Extra: x.Extra}
+	words := strings.Fields(x.Who)
+	if len(words) == 0 {
+		words = []string{"all"}
+	}
+	number := func() int {
+		if len(words) == 2 {
+			if n, err := strconv.Atoi(words[1]); err == nil {
+				return n
+			}
+		}
+		return -1
+	}
+	switch {
+	case x.Do == model.Cut:
+		if len(words) != 2 || !slices.Contains(s.Network.Sites, words[0]) || !slices.Contains(s.Network.Sites, words[1]) {
+			return nil, fmt.Errorf("%q is not two of the sites: %s", x.Who, strings.Join(s.Network.Sites, ", "))
+		}
+		f.From, f.To = slices.Index(s.Network.Sites, words[0]), slices.Index(s.Network.Sites, words[1])
+	case model.OnList(x.Do):
+	case model.OnMixers(x.Do):
+		for i := range s.Mixers.Count {
+			if words[0] == "all" && len(words) == 1 || words[0] == "mixer" && number() == i {
+				f.Among = append(f.Among, i)
+			}
+		}
+		if len(f.Among) == 0 {
+			return nil, fmt.Errorf("%q is neither all nor mixer 0 to mixer %d", x.Who, s.Mixers.Count-1)
+		}
+	default:
+		g := s.Groups[0]
+		for i, v := range servers {
+			hit := false
+			switch {
+			case len(words) == 1:
+				hit = words[0] == "all"
+			case len(words) != 2:
+			case words[0] == "server":
+				hit = v.Name == words[1]
+			case words[0] == "cell":
+				hit = v.Cell == number()
+			case words[0] == "shard":
+				hit = number() >= 0 && number() < g.Shards && (v.Cell-number()%g.Cells+g.Cells)%g.Cells < g.Width
+			case words[0] == "site":
+				hit = v.Site == words[1]
+			case words[0] == "group":
+				hit = v.Group == words[1]
+			}
+			if hit {
+				f.Among = append(f.Among, i)
+			}
+		}
+		if len(f.Among) == 0 {
+			return nil, fmt.Errorf("%q names no server; say all, server NAME, cell N, shard N, site NAME or group NAME", x.Who)
+		}
+	}
+	return f, nil
+}
+
+// NewNetwork is the plan's network.
+func (p *Plan) NewNetwork() *model.Network {
+	n := p.Network
+	net := model.NewNetwork(n.Sites, model.Link{Delay: n.Local, Jitter: n.Jitter, Loss: n.Loss}, model.Link{Delay: n.Far, Jitter: n.Jitter, Loss: n.Loss}, p.Draw)
+	for _, l := range p.Links {
+		a, b := net.Site(l.From), net.Site(l.To)
+		net.Set(a, b, model.Link{Delay: l.Delay, Jitter: l.Jitter, Loss: l.Loss})
+		if l.Both {
+			net.Set(b, a, model.Link{Delay: l.Delay, Jitter: l.Jitter, Loss: l.Loss})
+		}
+	}
+	return net
+}
+
+// MixerSite is the site of a mixer.
+func (p *Plan) MixerSite(n int) string { return p.Network.Sites[n%len(p.Network.Sites)] }
+
+// Retry is what clients do after a refusal.
+func (p *Plan) Retry() model.Retry {
+	c := p.Clients
+	return model.Retry{Most: c.Tries, Pause: c.Pause, Spread: c.Spread, Heed: c.Heed, Mark: c.Mark, Failed: c.Failed, Grow: c.Grow, Least: c.Least}
+}
+
+// NewList is the plan's list; Tell is the drive's.
+func (p *Plan) NewList(s model.Sched) *model.List {
+	l := &model.List{Sched: s, Lag: p.List.Lag, Jitter: p.List.Jitter, Notice: p.List.Notice, Luck: model.Rand(p.Draw, "list").ExpFloat64}
+	l.Begin(len(p.Servers))
+	return l
+}
+
+// MixerSeed is the seed of a mixer's decisions in its life of that number.
+func (p *Plan) MixerSeed(n, life int) uint64 { return model.Mix(p.Draw, "mixer", strconv.Itoa(n), strconv.Itoa(life)) }
+
+// MixerSettings is what the platform tells each mixer, as its configuration has it.
+func (p *Plan) MixerSettings() ([]byte, error) {
+	list := func(f func(Class) any) []any {
+		var out []any
+		for _, c := range p.Scenario.Classes {
+			out = append(out, f(c))
+		}
+		return out
+	}
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	g, set := p.Groups[0], p.Settings
+	return json.Marshal(map[string]any{"balancers": p.Mixers.Count, "discovery": "ask", "resolution": us(set.Resolution), "kinds": []string{"std-2c"}, "tenants": []any{},
+		"request-classes": list(func(c Class) any {
+			return map[string]any{"name": c.Name, "aim": us(c.Aim), "deadline": us(c.Patience), "effect": c.Effect,
+				"late-worth": c.Late, "memory-span": us(c.Memory), "value": c.Value}
+		}),
+		"family-info": map[string]any{"bundle-max": set.Bundle, "class-fetch": list(func(Class) any { return 0 }),
+			"class-floor": list(func(c Class) any { return c.Floor }), "need-by-class": list(func(c Class) any { return c.Need }),
+			"partial-earns": list(func(c Class) any { return c.Partial }), "places": g.Cells, "slices": g.Shards, "width": g.Width, "per-call-work": 0},
+		"limits": map[string]any{"cancel": set.Cancel, "dial-timeout": us(set.Dial), "keepalive": us(set.Keepalive), "max-retry-after": us(set.Advice), "most-held": set.Held,
+			"parallel-tries": set.Parallel, "probes": true, "retry-after": p.Clients.Heed > 0, "send-cap": set.Cap, "streams-per-conn": 100},
+		"report": map[string]any{"fields": []string{"inflight"}, "source": "piggyback"},
+		"rules": map[string]any{"answer-slack": 20000, "ask-within": us(set.Ask), "cold": us(g.ColdTime), "drain-grace": us(set.Grace), "fall": us(g.ColdSpan),
+			"fall-multiple": g.ColdMost, "start-capacity": g.ColdShare}})
+}
