--- a/cmd/saddlelab/main.go
+++ b/cmd/saddlelab/main.go
@@ -17,6 +17,7 @@
 	"saddleport/internal/lab/drill"
 	"saddleport/internal/lab/hookcost"
 	"saddleport/internal/lab/mapcost"
+	"saddleport/internal/lab/scenario"
 	"saddleport/internal/lab/show"
 )
 
@@ -30,19 +31,45 @@
 		Name:  "saddlelab",
 		Usage: "drills and measurements of the mixer, on this machine alone",
 		Commands: []*cli.Command{
-			{Name: "run", Usage: "play a drill; exit 0 if it passes, 1 if not", ArgsUsage: "FILE",
+			{Name: "run", Usage: "play a drill or a scenario; exit 0 if it passes, 1 if not", ArgsUsage: "FILE",
 				Flags: []cli.Flag{program, asJSON,
+					&cli.StringFlag{Name: "drive", Value: "virtual", Usage: "scenario: `DRIVE` virtual (no sockets) or real (the program, on loopback)"},
+					&cli.StringFlag{Name: "policy", Value: "mixer", Usage: "scenario: `POLICY` mixer, oracle (sees every server's true state) or random"},
+					&cli.IntFlag{Name: "seed", Usage: "scenario: another seed"},
+					&cli.StringSliceFlag{Name: "set", Usage: "scenario: set `KEY=VALUE`, as fleet.cores=4 or rate=2"},
+					&cli.StringFlag{Name: "operator", Usage: "scenario, real drive: the mixers' operator `FILE`"},
 					&cli.StringFlag{Name: "out", Usage: "keep logs and the result in this `DIR`"},
 					&cli.DurationFlag{Name: "length", Usage: "play it so long instead; steps keep their times, those after it do not happen"}},
 				Action: func(ctx context.Context, c *cli.Command) error {
 					if c.Args().Len() != 1 {
-						return errors.New("give one drill's file")
+						return errors.New("give one drill's or scenario's file")
+					}
+					if is, err := emulated(c.Args().First()); err != nil {
+						return err
+					} else if is {
+						return runScenario(ctx, c)
 					}
 					return run(ctx, c)
 				}},
-			{Name: "check", Usage: "read drills and say what is wrong with them", ArgsUsage: "FILE...",
+			{Name: "check", Usage: "read drills and scenarios and say what is wrong with them", ArgsUsage: "FILE...",
 				Action: func(_ context.Context, c *cli.Command) error {
 					for _, file := range c.Args().Slice() {
+						if is, err := emulated(file); err != nil {
+							return err
+						} else if is {
+							doc, err := scenario.Open(file)
+							if err != nil {
+								return err
+							}
+							for _, v := range doc.Variations() {
+								s, err := doc.Scenario(v)
+								if err != nil {
+									return err
+								}
+								fmt.Printf("%s: %s %s, %v, %d servers, %d mixers, %d classes, %d faults\n", file, s.Name, scenario.Label(v), s.Length, s.Servers(), s.Mixers.Count, len(s.Classes), len(s.Faults))
+							}
+							continue
+						}
 						d, err := drill.Read(file)
 						if err != nil {
 							return err
@@ -83,6 +110,7 @@
 				}},
 		},
 	}
+	root.Commands = append(root.Commands, emulatorCommands(program, asJSON)...)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root.Run(ctx, os.Args); err != nil {
--- /dev/null
+++ b/internal/lab/demo/demo.go
@@ -0,0 +1,128 @@
+// Package demo is what a newcomer sees first: a small fleet, discovery, two mixers
+// and load on loopback, live rates, a node killed on the way, and a report. It owns
+// the scenario and the words. It must never need a file, a fixed port or a flag.
+package demo
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"saddleport/internal/lab/play"
+	"saddleport/internal/lab/record"
+	"saddleport/internal/lab/report"
+	"saddleport/internal/lab/scenario"
+)
+
+//go:embed demo.ini
+var text []byte
+
+// Options are how the demo is played.
+type Options struct {
+	Program  string        // the mixer; empty: built from this module
+	Length   time.Duration // 0: 30 s
+	Dir      string        // for the report; empty: a temporary folder, which is kept
+	Out      io.Writer
+	Progress func(share float64, remark string)
+}
+
+// Run plays the demo.
+func Run(ctx context.Context, opt Options) (*record.Run, error) {
+	doc, err := scenario.Text("demo.ini", text)
+	if err != nil {
+		return nil, err
+	}
+	var values []scenario.Value
+	if opt.Length > 0 {
+		values = append(values, scenario.Value{Key: "length", Value: opt.Length.String()})
+	}
+	s, err := doc.Scenario(values)
+	if err != nil {
+		return nil, err
+	}
+	plan, err := s.Plan(uint64(s.Seed))
+	if err != nil {
+		return nil, err
+	}
+	program, clean, err := mixer(ctx, opt.Program)
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+	dir := opt.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "saddleport-demo-"); err != nil {
+			return nil, err
+		}
+	}
+	fmt.Fprintf(opt.Out, "%d leaf servers in %d cells, discovery, %d mixers and %.0f queries a second, on free ports of 127.0.0.1, for %v.\n",
+		len(plan.Servers), s.Groups[0].Cells, s.Mixers.Count, rate(plan), s.Length)
+	for _, f := range s.Faults {
+		fmt.Fprintf(opt.Out, "At %v one leaf server dies; it comes back cold after %v.\n", f.At, f.For)
+	}
+	run, err := play.Play(ctx, plan, play.Options{Drive: play.Real, Program: program, Logs: filepath.Join(dir, "logs"), Keep: true, Progress: opt.Progress})
+	if err != nil {
+		return nil, err
+	}
+	fmt.Fprintln(opt.Out, "\nWhat happened:")
+	for _, e := range run.Events {
+		fmt.Fprintf(opt.Out, "  %5.1f s  %s\n", e.At.Seconds(), e.Text)
+	}
+	fmt.Fprintln(opt.Out)
+	if err := run.Print(opt.Out); err != nil {
+		return nil, err
+	}
+	if _, err := run.Save(filepath.Join(dir, "run"), s.String()); err != nil {
+		return nil, err
+	}
+	page := filepath.Join(dir, "report.html")
+	f, err := os.Create(page)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if err := report.Run(f, run, nil, s.String(), "this machine, loopback"); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(opt.Out, "\nThe report: %s\nThe mixers' logs: %s\n", page, filepath.Join(dir, "logs"))
+	return run, nil
+}
+
+func rate(p *scenario.Plan) (sum float64) {
+	for _, c := range p.Classes {
+		sum += c.Arrivals.Rate
+	}
+	return sum
+}
+
+// mixer finds the program: the one named, the one beside this, or one built now.
+func mixer(ctx context.Context, program string) (path string, clean func(), err error) {
+	clean = func() {}
+	if program != "" {
+		return program, clean, nil
+	}
+	if self, err := os.Executable(); err == nil {
+		beside := filepath.Join(filepath.Dir(self), "saddleport")
+		if _, err := os.Stat(beside); err == nil {
+			return beside, clean, nil
+		}
+	}
+	dir, err := os.MkdirTemp("", "saddleport-build-")
+	if err != nil {
+		return "", clean, err
+	}
+	clean = func() { os.RemoveAll(dir) }
+	path = filepath.Join(dir, "saddleport")
+	build := exec.CommandContext(ctx, "go", "build", "-o", path, "saddleport/cmd/saddleport")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		clean()
+		return "", func() {}, fmt.Errorf("the mixer could not be built (give --program): %w", err)
+	}
+	return path, clean, nil
+}
--- a/internal/lab/desk/desk.go
+++ b/internal/lab/desk/desk.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -95,7 +96,7 @@
 		d.Judge.Sent(q)
 		go func() {
 			defer d.out.Done()
-			d.send(class, q)
+			d.Do(context.Background(), Request{Addr: d.Addr(), Text: class.Text, Keys: class.Books}, q)
 			d.Judge.Ended(q)
 		}()
 	}
@@ -146,20 +147,32 @@
 	}
 }
 
-// send sends a query and takes its answer. A connection that broke before a byte
-// of the answer came, and that had carried others, may have crossed its end: the
-// platform's clients send once more.
-func (d *Desks) send(class Class, q *judge.Query) {
+// Request is how a query is put to a mixer.
+type Request struct {
+	Addr   string
+	Text   string
+	Keys   bool // a part of one key names it
+	Repeat bool // it is marked as a later try
+}
+
+// Do sends a query and takes its answer into q; it returns the advice on when to
+// come back. A connection that broke before a byte of the answer came, and that had
+// carried others, may have crossed its end: the platform's clients send once more.
+// When ctx ends, the client closes the connection: it is gone.
+func (d *Desks) Do(ctx context.Context, req Request, q *judge.Query) (after time.Duration) {
 	q.Sent = time.Now()
 	for try := 0; ; try++ {
-		c, err := d.conn(try > 0)
+		c, err := d.conn(req.Addr, try > 0)
 		if err == nil {
+			leave := context.AfterFunc(ctx, func() { c.nc.Close() })
 			var crossed bool
-			if crossed, err = d.ask(c, class, q); crossed && try == 0 {
+			crossed, after, err = d.ask(c, req, q)
+			leave()
+			if crossed && try == 0 && ctx.Err() == nil {
 				d.drop(c)
 				continue
 			}
-			if err != nil {
+			if err != nil || ctx.Err() != nil {
 				d.drop(c)
 			} else {
 				d.keep(c)
@@ -167,13 +180,15 @@
 		}
 		if err != nil {
 			q.Ended, q.Outcome, q.Detail = time.Now(), judge.Lost, err.Error()
+			if ctx.Err() != nil {
+				q.Outcome = judge.Gone
+			}
 		}
-		return
+		return after
 	}
 }
 
-func (d *Desks) conn(fresh bool) (*conn, error) {
-	addr := d.Addr()
+func (d *Desks) conn(addr string, fresh bool) (*conn, error) {
 	d.mu.Lock()
 	if idle := d.idle[addr]; !fresh && len(idle) > 0 {
 		c := idle[len(idle)-1]
@@ -238,22 +253,22 @@
 	return err == nil
 }
 
-func (d *Desks) ask(c *conn, class Class, q *judge.Query) (crossed bool, err error) {
+func (d *Desks) ask(c *conn, req Request, q *judge.Query) (crossed bool, after time.Duration, err error) {
 	body := []byte(`{"shards":[`)
 	for i, p := range q.Parts {
 		if i > 0 {
 			body = append(body, ',')
 		}
 		body = fmt.Appendf(body, `{"shard":%d,"weight":%.9f`, p.Shard, p.Weight)
-		if class.Books && len(p.Keys) == 1 {
+		if req.Keys && len(p.Keys) == 1 {
 			body = fmt.Appendf(body, `,"key":%q`, p.Keys[0])
 		}
 		body = append(body, '}')
 	}
-	body = fmt.Appendf(body, `],"q":%q}`, class.Text)
+	body = fmt.Appendf(body, `],"q":%q}`, req.Text)
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In: %dm\r\nContent-Length: %d\r\n\r\n",
-		q.ID, class.Name, q.Patience.Milliseconds(), len(body))
+	fmt.Fprintf(&b, "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In: %dm\r\n%sContent-Length: %d\r\n\r\n",
+		q.ID, q.Class, q.Patience.Milliseconds(), map[bool]string{true: "X-Second-Try: 1\r\n"}[req.Repeat], len(body))
 	b.Write(body)
 	old := c.old
 	c.old = true
@@ -263,20 +278,20 @@
 	q.Sent = time.Now()
 	c.nc.SetDeadline(q.Sent.Add(q.Patience + d.Again))
 	if _, err := c.nc.Write(b.Bytes()); err != nil {
-		return old, err
+		return old, 0, err
 	}
 	if _, err := c.r.Peek(1); err != nil {
 		var timeout net.Error
-		return old && !(errors.As(err, &timeout) && timeout.Timeout()), err
+		return old && !(errors.As(err, &timeout) && timeout.Timeout()), 0, err
 	}
 	p, err := http.ReadResponse(c.r, nil)
 	if err != nil {
-		return false, err
+		return false, 0, err
 	}
 	text, err := io.ReadAll(io.LimitReader(p.Body, 1<<20))
 	p.Body.Close()
 	if err != nil {
-		return false, err
+		return false, 0, err
 	}
 	q.Ended = time.Now()
 	if c.r.Buffered() > 0 {
@@ -293,10 +308,13 @@
 		}
 	case 429, 503:
 		q.Outcome = judge.Refused
+		if s, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < 3600 {
+			after = time.Duration(s * float64(time.Second))
+		}
 	default:
 		q.Outcome = judge.Failed
 	}
 	q.Detail = string(bytes.TrimSpace(text[:min(len(text), 80)]))
 	c.end = p.Close
-	return false, nil
+	return false, after, nil
 }
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -22,6 +21,7 @@
 	"saddleport/internal/core/placement"
 	"saddleport/internal/hook"
 	"saddleport/internal/inifile"
+	"saddleport/internal/lab/child"
 	"saddleport/internal/lab/desk"
 	"saddleport/internal/lab/disco"
 	"saddleport/internal/lab/judge"
@@ -73,14 +73,6 @@
 	Log      string
 }
 
-// mixer is one child process.
-type mixer struct {
-	cmd    *exec.Cmd
-	listen string
-	exited chan error
-	log    string
-}
-
 type run struct {
 	d      *Drill
 	opt    Options
@@ -92,7 +84,7 @@
 	leaves map[string]*leaf.Server
 	addrs  map[string]string
 	world  *reshape.World
-	mixers []*mixer
+	mixers []*child.Mixer
 
 	mu       sync.Mutex
 	broken   []string
@@ -216,12 +208,11 @@
 // start writes the two files and starts the program.
 func (r *run) start(n int, logFile string) error {
 	d := r.d
-	port, err := freePort()
+	port, err := child.FreePort()
 	if err != nil {
 		return err
 	}
-	x := &mixer{exited: make(chan error, 1), log: logFile}
-	x.listen = fmt.Sprintf("127.0.0.1:%d", port)
+	listen := fmt.Sprintf("127.0.0.1:%d", port)
 	list := func(f func(Class) any) []any {
 		var out []any
 		for _, c := range d.Classes {
@@ -230,7 +221,7 @@
 		return out
 	}
 	config := map[string]any{
-		"name": fmt.Sprintf("lab%d", n), "listen": x.listen, "discovery": r.disco.Addr, "seed": fmt.Sprintf("%016x", d.Seed+1+n),
+		"name": fmt.Sprintf("lab%d", n), "listen": listen, "discovery": r.disco.Addr, "seed": fmt.Sprintf("%016x", d.Seed+1+n),
 		"limits": map[string]any{"cores": d.Mixer.Cores, "memory_mb": int64(d.Mixer.Memory >> 20), "sockets": d.Mixer.Sockets},
 		"known":  r.disco.Snapshot(),
 		"settings": map[string]any{"balancers": d.Mixer.Count, "discovery": "ask", "resolution": 5000, "kinds": []string{"std-2c"}, "tenants": []any{},
@@ -264,33 +255,16 @@
 		}
 		args = append(args, "--operator", r.operatorFile(n))
 	}
-	out, err := os.Create(logFile)
-	if err != nil {
-		return err
-	}
-	defer out.Close()
-	x.cmd = exec.Command(r.opt.Program, args...)
-	x.cmd.Stdout, x.cmd.Stderr = out, out
-	x.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := x.cmd.Start(); err != nil {
-		return err
+	var more func() bool
+	if r.world != nil {
+		more = func() bool { return r.mapped(n) }
 	}
-	r.mixers = append(r.mixers, x)
-	go func() { x.exited <- x.cmd.Wait() }()
-	for until := time.Now().Add(readyTime); ; time.Sleep(20 * time.Millisecond) {
-		if ready(x.listen) && (r.world == nil || r.mapped(n)) {
-			return nil
-		}
-		select {
-		case err := <-x.exited:
-			x.exited <- err
-			return fmt.Errorf("the mixer did not start: %v\n%s", err, tail(logFile))
-		default:
-		}
-		if time.Now().After(until) {
-			return errors.New("the mixer was not ready in time\n" + tail(logFile))
-		}
+	os.Remove(logFile)
+	x, err := child.Start(r.opt.Program, listen, logFile, more, args...)
+	if err == nil {
+		r.mixers = append(r.mixers, x)
 	}
+	return err
 }
 
 // mapped tells whether a mixer has a map.
@@ -339,7 +313,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var turn atomic.Uint64
-	c := desk.Config{Addr: func() string { return r.mixers[turn.Add(1)%uint64(len(r.mixers))].listen }, Shards: d.Fleet.Shards,
+	c := desk.Config{Addr: func() string { return r.mixers[turn.Add(1)%uint64(len(r.mixers))].Listen }, Shards: d.Fleet.Shards,
 		Seed: uint64(d.Seed), Judge: r.j, Conns: d.Mixer.Sockets / 3}
 	var reshaping sync.WaitGroup
 	if r.world != nil {
@@ -394,8 +368,8 @@
 				stopping := r.stopping
 				r.mu.Unlock()
 				select {
-				case err := <-x.exited:
-					x.exited <- err
+				case err := <-x.Exited:
+					x.Exited <- err
 					if !stopping {
 						r.fail("a mixer ended under load: %v", err)
 						stop()
@@ -430,8 +404,8 @@
 	}
 	out.Report = r.report
 	for _, x := range r.mixers {
-		if x.cmd.ProcessState != nil {
-			out.CPU += x.cmd.ProcessState.UserTime() + x.cmd.ProcessState.SystemTime()
+		if x.Cmd.ProcessState != nil {
+			out.CPU += x.Cmd.ProcessState.UserTime() + x.Cmd.ProcessState.SystemTime()
 		}
 	}
 	if r.world != nil {
@@ -541,7 +515,7 @@
 func (r *run) look(begin time.Time) {
 	s := Sample{At: time.Since(begin), Of: r.d.Length, Open: r.j.Open()}
 	for _, x := range r.mixers {
-		rss, files := process(x.cmd.Process.Pid)
+		rss, files := child.Look(x.Cmd.Process.Pid)
 		s.RSS, s.Files = max(s.RSS, rss), max(s.Files, files)
 	}
 	var rep hook.Report
@@ -569,7 +543,7 @@
 
 func (r *run) signal(s os.Signal) {
 	for _, x := range r.mixers {
-		x.cmd.Process.Signal(s)
+		x.Signal(s)
 	}
 }
 
@@ -580,24 +554,15 @@
 	r.mu.Unlock()
 	r.signal(syscall.SIGTERM)
 	for _, x := range r.mixers {
-		select {
-		case err := <-x.exited:
-			if err != nil {
-				r.fail("a mixer ended with %v\n%s", err, tail(x.log))
-			}
-			x.exited <- err
-		case <-time.After(endTime):
-			r.fail("a mixer did not end %v after SIGTERM", endTime)
-			x.cmd.Process.Kill()
-			x.exited <- <-x.exited
+		if err := x.Wait(endTime); err != nil {
+			r.fail("%v", err)
 		}
 	}
 }
 
 func (r *run) close() {
 	for _, x := range r.mixers {
-		x.cmd.Process.Kill() // one that has ended says so
-		<-x.exited
+		x.Kill()
 	}
 	if r.world != nil {
 		r.world.Close()
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -232,7 +232,7 @@
 	Class                                                         string
 	Sent, Answered, Partial, Refused, Failed, Late, Lost, Doubled int
 	Wrong, Drained, Parts, Capped                                 int
-	Died                                                          int // its mixer was killed by the script
+	Died                                                          int           // its mixer was killed by the script
 	P50, P99, Max                                                 time.Duration // of answers, from the time they were due
 }
 
--- a/internal/lab/model/client.go
+++ b/internal/lab/model/client.go
@@ -31,14 +31,14 @@
 
 // Retry is what clients do after a refusal.
 type Retry struct {
-	Most    int           // tries beside the first
-	Pause   time.Duration // before the next, where no advice was given or is heeded
-	Spread  float64       // the pause is stretched by up to this share, at random
-	Heed    float64       // share of clients that wait as long as advised
-	Mark    bool          // later tries are marked
-	Failed  bool          // classes without unsafe parts are asked again after failures too
-	Grow    float64       // each pause is this times the one before
-	Least time.Duration // with less time left than this they do not ask again
+	Most   int           // tries beside the first
+	Pause  time.Duration // before the next, where no advice was given or is heeded
+	Spread float64       // the pause is stretched by up to this share, at random
+	Heed   float64       // share of clients that wait as long as advised
+	Mark   bool          // later tries are marked
+	Failed bool          // classes without unsafe parts are asked again after failures too
+	Grow   float64       // each pause is this times the one before
+	Least  time.Duration // with less time left than this they do not ask again
 }
 
 // PartAsk is a part that is asked for.
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -126,6 +126,7 @@
 	room     queue
 	waits    int
 	hung     int
+	inbox    []*Job // what has come while the world stood still
 	seq      int64
 
 	sent  []sentWork // to a cold server, in the window
@@ -150,7 +151,7 @@
 func (s *Server) Running() (bool, time.Duration) { return s.up, s.since }
 
 // Held counts the parts it has.
-func (s *Server) Held() int { return len(s.heap) + s.waits + s.hung }
+func (s *Server) Held() int { return len(s.heap) + s.waits + s.hung + len(s.inbox) }
 
 // Share is the share of its capacity that it has, for being cold.
 func (s *Server) Share() float64 {
@@ -211,6 +212,10 @@
 	s.stats.Taken++
 	s.seq++
 	j.seq, j.index = s.seq, -1
+	if s.Effects.Paused > 0 { // nobody reads
+		s.inbox = append(s.inbox, j)
+		return
+	}
 	if s.push(j) {
 		return // it fell over: all that was there is lost, this part with it
 	}
@@ -307,6 +312,8 @@
 	case held:
 		s.hung--
 		j.state = over
+	case 0:
+		j.state = over
 	}
 }
 
@@ -324,6 +331,10 @@
 	s.room.each(func(j *Job) { j.state = over })
 	s.room = queue{how: s.Queue}
 	s.waits, s.hung = 0, 0
+	for _, j := range s.inbox {
+		j.state = over
+	}
+	s.inbox = nil
 	s.sent, s.sum = nil, 0
 	s.settle()
 	if s.Down != nil {
@@ -348,6 +359,17 @@
 // Changed is to be called after a change of Effects.
 func (s *Server) Changed() {
 	s.settle()
+	if s.Effects.Paused > 0 || len(s.inbox) == 0 {
+		return
+	}
+	inbox := s.inbox
+	s.inbox = nil
+	for _, j := range inbox {
+		if j.state != over {
+			s.stats.Taken--
+			s.Take(j)
+		}
+	}
 }
 
 // Look tells what it did since the last look.
--- a/internal/lab/scenario/file.go
+++ b/internal/lab/scenario/file.go
@@ -438,3 +438,66 @@
 	}
 	return v
 }
+
+// Sections names the sections of the document.
+func (d *Doc) Sections() []string {
+	var out []string
+	for _, s := range d.doc.Sections {
+		out = append(out, s.Name)
+	}
+	return out
+}
+
+// Without is the document without one section and the variations of it.
+func (d *Doc) Without(section string) *Doc {
+	out := &Doc{File: d.File, doc: &inifile.Doc{File: d.doc.File}}
+	for _, s := range d.doc.Sections {
+		if s.Name != section {
+			out.doc.Sections = append(out.doc.Sections, s)
+		}
+	}
+	prefix := strings.ReplaceAll(section, " ", ".") + "."
+	for _, v := range d.Varies {
+		if !strings.HasPrefix(v.Key, prefix) {
+			out.Varies = append(out.Varies, v)
+		}
+	}
+	return out
+}
+
+// WithoutKey is the document with one key back at its default.
+func (d *Doc) WithoutKey(section, key string) *Doc {
+	out := &Doc{File: d.File, Varies: d.Varies, doc: &inifile.Doc{File: d.doc.File}}
+	for _, s := range d.doc.Sections {
+		if s.Name == section {
+			c := *s
+			c.Keys = slices.DeleteFunc(slices.Clone(s.Keys), func(k inifile.Key) bool { return k.Name == key })
+			s = &c
+		}
+		out.doc.Sections = append(out.doc.Sections, s)
+	}
+	return out
+}
+
+// Keys are the keys that a section gives.
+func (d *Doc) Keys(section string) []string {
+	for _, s := range d.doc.Sections {
+		if s.Name == section {
+			var out []string
+			for _, k := range s.Keys {
+				out = append(out, k.Name)
+			}
+			return out
+		}
+	}
+	return nil
+}
+
+// Fixed is the document with these values set for good.
+func (d *Doc) Fixed(values []Value) (*Doc, error) {
+	s, err := d.Scenario(values)
+	if err != nil {
+		return nil, err
+	}
+	return &Doc{File: d.File, doc: s.doc}, nil
+}
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -408,7 +408,9 @@
 }
 
 // MixerSeed is the seed of a mixer's decisions in its life of that number.
-func (p *Plan) MixerSeed(n, life int) uint64 { return model.Mix(p.Draw, "mixer", strconv.Itoa(n), strconv.Itoa(life)) }
+func (p *Plan) MixerSeed(n, life int) uint64 {
+	return model.Mix(p.Draw, "mixer", strconv.Itoa(n), strconv.Itoa(life))
+}
 
 // MixerSettings is what the platform tells each mixer, as its configuration has it.
 func (p *Plan) MixerSettings() ([]byte, error) {
@@ -435,3 +437,11 @@
 		"rules": map[string]any{"answer-slack": 20000, "ask-within": us(set.Ask), "cold": us(g.ColdTime), "drain-grace": us(set.Grace), "fall": us(g.ColdSpan),
 			"fall-multiple": g.ColdMost, "start-capacity": g.ColdShare}})
 }
+
+// Servers counts the servers.
+func (s *Scenario) Servers() (n int) {
+	for _, g := range s.Groups {
+		n += s.Groups[0].Cells * g.Replicas
+	}
+	return n
+}
--- a/internal/lab/virtual/link.go
+++ b/internal/lab/virtual/link.go
@@ -179,7 +179,7 @@
 		}
 		s := w.Servers[l.server]
 		back, ok := w.net.Delay(w.sites[l.server], m.site)
-		if !ok || w.vanish[l.server] > 0 || s.Effects.Paused > 0 {
+		if !ok || w.vanish[l.server] > 0 {
 			fail(max(w.plan.Settings.Dial-there, 0))
 			return
 		}
