--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -17,31 +17,49 @@
 	return r
 }
 
-// roundTrip is one query of eight parts, all served.
-func roundTrip(r *Router, i int) int {
-	now, n := 10*sec+Micros(i)*100*ms, 8
-	id := fmt.Sprintf("q%d", i)
-	events := []Event{Query{ID: id, Class: "some", Number: int64(i), Grace: 2 * sec, Parts: n}}
-	for p := range n {
-		events = append(events, Part{ID: fmt.Sprintf("%s.%d", id, p), Class: "some", Number: int64(i),
-			Shard: (i + p) % r.set.Shards, Weight: 1 / float64(n)})
+// caller is what drives a router: it has its events ready, so that what is measured
+// is the deciding and not the making of names. Outcomes it makes as they come.
+type caller struct {
+	r      *Router
+	asks   [][]Event // queries of eight parts
+	events []Event
+}
+
+func newCaller(r *Router) *caller {
+	c := &caller{r: r}
+	for i := range 512 {
+		n := 8
+		id := fmt.Sprintf("q%d", i)
+		events := []Event{Query{ID: id, Class: "some", Number: int64(i), Grace: 2 * sec, Parts: n}}
+		for p := range n {
+			events = append(events, Part{ID: fmt.Sprintf("%s.%d", id, p), Class: "some", Number: int64(i),
+				Shard: (i + p) % r.set.Shards, Weight: 1 / float64(n)})
+		}
+		c.asks = append(c.asks, events)
 	}
-	sends := of[Send](r.Step(now, events))
-	events = events[:0]
-	for _, s := range sends {
-		events = append(events, Outcome{ID: s.ID, Server: s.Server, Verdict: Served})
+	return c
+}
+
+// roundTrip is one query of eight parts, all served.
+func (c *caller) roundTrip(i int) int {
+	now := 10*sec + Micros(i)*100*ms
+	c.events = c.events[:0]
+	for _, a := range c.r.Step(now, c.asks[i%len(c.asks)]) {
+		if s, ok := a.(Send); ok {
+			c.events = append(c.events, Outcome{ID: s.ID, Server: s.Server, Verdict: Served})
+		}
 	}
-	r.Step(now+20*ms, events)
-	return len(sends)
+	c.r.Step(now+20*ms, c.events)
+	return len(c.events)
 }
 
 func BenchmarkQuery(b *testing.B) {
 	for _, servers := range []int{12, 1200} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			r := fleet(b, servers)
+			c := newCaller(fleet(b, servers))
 			b.ReportAllocs()
-			for i := range b.N {
-				roundTrip(r, i)
+			for i := 0; b.Loop(); i++ {
+				c.roundTrip(i)
 			}
 		})
 	}
@@ -51,12 +69,13 @@
 func TestWorkPerQueryDoesNotGrowWithTheFleet(t *testing.T) {
 	cost := func(servers int) (perQuery, perLine float64) {
 		r, i := fleet(t, servers), 0
-		for range 200 {
-			roundTrip(r, i)
+		c := newCaller(r)
+		for range 5000 { // until each server has been met
+			c.roundTrip(i)
 			i++
 		}
 		perQuery = testing.AllocsPerRun(200, func() {
-			if roundTrip(r, i) < 4 {
+			if c.roundTrip(i) < 4 {
 				t.Fatal("a query with room everywhere was not sent")
 			}
 			i++
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -112,9 +112,9 @@
 		return nil, err
 	}
 	r := empty(seed, set)
-	for _, c := range set.Classes {
+	for i, c := range set.Classes {
 		aim := float64(c.Aim)
-		r.classes[c.Name] = &class{Class: c, mid: startMiddle * aim, high: startUpper * aim}
+		r.classes[c.Name] = &class{Class: c, n: i, mid: startMiddle * aim, high: startUpper * aim}
 	}
 	for _, t := range set.Tenants {
 		r.shares[t.Name] = &bucket{rate: t.QuotaPerS / float64(max(set.Routers, 1)), left: 1}
@@ -122,9 +122,9 @@
 	return r, nil
 }
 
-// Step takes the events of one moment and returns what to do, in order.
+// Step takes the events of one moment and returns what to do, in order; it holds until the next Step.
 func (r *Router) Step(now Micros, events []Event) []Action {
-	r.now, r.acts, r.lateBy = now, nil, max(now-r.wakeAt, 0)
+	r.now, r.acts, r.lateBy = now, r.acts[:0], max(now-r.wakeAt, 0)
 	if !r.started {
 		r.started, r.binAt, r.lateBy = true, r.now, 0
 		if r.set.AskDiscovery {
@@ -148,7 +148,7 @@
 // ---- Queries: admission, answers, ends.
 
 func (r *Router) query(ev Query) {
-	r.taken = append(r.taken, r.now)
+	r.took()
 	c := r.classes[ev.Class]
 	if c == nil {
 		r.do(Refuse{ID: ev.ID})
@@ -161,7 +161,7 @@
 		aim -= min(c.Deadline-ev.Grace, aim)
 	}
 	q := &query{id: ev.ID, class: c, tenant: ev.Tenant, number: ev.Number, need: c.Need, step: 1}
-	q.at, q.aimAt = r.now, r.now+aim-r.set.Resolution
+	q.size, q.at, q.aimAt = ev.Parts, r.now, r.now+aim-r.set.Resolution
 	q.endAt = r.now + ev.Grace - r.set.Resolution
 	if c.LateWorth == 0 {
 		q.endAt = min(q.endAt, q.aimAt)
@@ -172,24 +172,24 @@
 		return
 	}
 	r.fresh = append(r.fresh, q)
-	r.after(q.endAt-r.now, func() { r.expire(q) })
+	r.alarm(q.endAt-r.now, (*expiry)(q))
 	q.partAt = q.aimAt
 	if c.Fetch > 0 { // the second step needs its time
 		q.partAt -= min(Micros(c.high*overdueBy), (q.aimAt-r.now)/2)
 	}
 	if q.partAt < q.endAt {
-		r.after(q.partAt-r.now, func() { r.partNow(q) })
+		r.alarm(q.partAt-r.now, (*partial)(q))
 	}
 }
 
 // part adds a part to its query; those of a second step are sent by pursue.
 func (r *Router) part(ev Part) {
-	r.taken = append(r.taken, r.now)
+	r.took()
 	q := r.numbers[ev.Number]
 	if q == nil || q.ended {
 		return
 	}
-	p := &part{id: ev.ID, q: q, shard: ev.Shard, weight: ev.Weight, stretch: 1}
+	p := q.newPart(part{id: ev.ID, q: q, shard: ev.Shard, weight: ev.Weight, stretch: 1})
 	if c := q.class; ev.Hinted && ev.Predicted > 0 {
 		h := float64(ev.Predicted)
 		if c.hint == 0 {
@@ -201,7 +201,7 @@
 	q.parts = append(q.parts, p)
 	r.parts[p.id] = p
 	if q.step == 2 && len(q.parts) == 1 {
-		r.after(0, func() { r.pursue(q) })
+		r.alarm(0, (*pursuit)(q))
 	}
 }
 
@@ -301,8 +301,7 @@
 // plan puts the parts of one call on a server; send carries it out.
 func (r *Router) plan(g []*part, s *server) (weight float64) {
 	for _, p := range g {
-		a := &attempt{p: p, s: s, index: len(p.attempts), sentAt: r.now, ran: true}
-		p.attempts = append(p.attempts, a)
+		p.newAttempt(attempt{p: p, s: s, index: len(p.attempts), sentAt: r.now, ran: true})
 		s.out++
 		s.saved--
 		weight += p.weight
@@ -322,7 +321,7 @@
 	late := min(q.class.high*a.p.stretch*overdueBy, float64(q.class.Aim)*overdueMax)
 	patience := float64(min(q.aimAt, q.endAt)-q.at+r.set.Resolution) * overdueMax
 	a.early = patience < late
-	r.after(max(Micros(min(late, patience)), 2*r.set.Resolution), func() { r.overdue(a) })
+	r.alarm(max(Micros(min(late, patience)), 2*r.set.Resolution), (*lateness)(a))
 }
 
 // connect judges the connection an attempt goes out on by how long nothing was heard on it. One that idled
@@ -411,7 +410,7 @@
 	if coming < q.need-weightSlack && q.retryAt <= r.now {
 		pause := Micros(float64(q.class.Aim) * retryPause)
 		q.retryAt = r.now + pause
-		r.after(pause, func() { r.pursue(q) })
+		r.alarm(pause, (*pursuit)(q))
 	}
 }
 
@@ -484,7 +483,7 @@
 		return
 	}
 	a.overdue = true
-	if a.s.served[a.p.q.class] < a.sentAt && !a.early {
+	if a.s.served[a.p.q.class.n] < a.sentAt && !a.early {
 		if a.s.servedAt < a.sentAt {
 			r.mark(a, 1)
 		}
@@ -621,7 +620,8 @@
 	if u == spare || u == second {
 		share = spareRoom
 	}
-	var sound, trial, leaving, slow, failing, full, jammed []*server
+	var lots [7][6]*server
+	sound, trial, leaving, slow, failing, full, jammed := cut(&lots)
 	for j := range r.set.Width {
 		for _, s := range r.cells[(p.shard+j)%r.set.Cells] {
 			if p.tried(s) || !r.bears(s) {
@@ -696,7 +696,7 @@
 
 func (r *Router) suspect(s *server, c *class) bool { return s.guilt(c) > 0 || s.pace > slowPace }
 
-func (s *server) guilt(c *class) int { return max(s.blame, s.blames[c]) }
+func (s *server) guilt(c *class) int { return max(s.blame, s.blames[c.n]) }
 
 // bears keeps what is sent to a cold server in any window of rules.fall under what it can do. Each router
 // saves up its share of that, from a random start; where nothing is known, all together one part a window.
@@ -739,10 +739,10 @@
 		a.p.q.pace += math.Log(whole / c.mid)
 		a.p.q.paced++
 		s.pace += (ratio - s.pace) * paceStep
-		s.servedAt, s.served[c] = r.now, r.now
+		s.servedAt, s.served[c.n] = r.now, r.now
 		if s.cause != nil && s.cause != c {
 			// It serves: what it left unanswered is that class's trouble; forgiving it hid that for good.
-			s.blames[s.cause], s.blame, s.cause = max(s.blames[s.cause], s.blame), 0, nil
+			s.blames[s.cause.n], s.blame, s.cause = max(s.blames[s.cause.n], s.blame), 0, nil
 		}
 		r.bins++
 		if age > slowShare*float64(c.Aim) {
@@ -753,14 +753,14 @@
 		}
 		if ratio < slowPace {
 			s.blame /= 2
-			s.blames[c] /= 2
+			s.blames[c.n] /= 2
 		}
 		if float64(s.out) >= s.window*growFrom {
 			s.window += min(1/s.window, s.window)
 		}
 	case NoAnswer:
 		// Answers lost here and there are no sign of a dead server while it serves others.
-		if s.served[c] > a.sentAt || a.short {
+		if s.served[c.n] > a.sentAt || a.short {
 			return
 		}
 		if s.servedAt < a.sentAt {
@@ -847,8 +847,8 @@
 func (r *Router) blame(a *attempt, n int) {
 	s, c := a.s, a.p.q.class
 	if a.sentAt >= s.episode {
-		if s.servedAt > a.sentAt && s.served[c] <= a.sentAt {
-			s.blames[c] = min(s.blames[c]+n, mostBlame)
+		if s.servedAt > a.sentAt && s.served[c.n] <= a.sentAt {
+			s.blames[c.n] = min(s.blames[c.n]+n, mostBlame)
 		} else {
 			if s.blame == 0 {
 				s.cause = c
--- a/choice/state.go
+++ b/choice/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -14,20 +13,20 @@
 type server struct {
 	Server
 	window   float64
-	out      int            // attempts planned or out
-	live     int            // attempts out
-	heardAt  Micros         // the last answer of any sort, or the last new connection
-	episode  Micros         // the last shrink: attempts sent before it don't shrink again
-	blame    int            // for all classes
-	cause    *class         // the one class whose parts raised blame, if no other did
-	blames   map[*class]int // for one class: others are served
-	pace     float64        // its latencies over the class's middle, smoothed
+	out      int     // attempts planned or out
+	live     int     // attempts out
+	heardAt  Micros  // the last answer of any sort, or the last new connection
+	episode  Micros  // the last shrink: attempts sent before it don't shrink again
+	blame    int     // for all classes
+	cause    *class  // the one class whose parts raised blame, if no other did
+	blames   []int   // for one class, by its number: others are served
+	pace     float64 // its latencies over the class's middle, smoothed
 	trialAt  Micros
 	openAt   Micros // with a window below one: when it has room again
 	passed   int    // draws that passed it over since
 	servedAt Micros
-	served   map[*class]Micros // the same, by class
-	coldFrom Micros            // start of its cold time; 0: warm
+	served   []Micros // the same, by class
+	coldFrom Micros   // start of its cold time; 0: warm
 	groups   []*group
 	saved    float64 // while cold: the parts it may be sent
 	savedAt  Micros
@@ -43,6 +42,7 @@
 
 type class struct {
 	Class
+	n         int     // its number
 	mid, high float64 // quantiles of latency, in microseconds
 	hint      float64 // mean hint
 	seen      float64 // latencies seen
@@ -60,6 +60,8 @@
 	endAt    Micros
 	partAt   Micros
 	parts    []*part
+	size     int    // parts told of
+	slab     []part // where its parts lie
 	need     float64
 	got      float64
 	step     int
@@ -82,6 +84,8 @@
 	stretch  float64 // its hint over the class's mean
 	served   bool
 	attempts []*attempt
+	first    attempt     // where the first attempt lies; most parts have one
+	one      [1]*attempt // what attempts holds then
 }
 
 type attempt struct {
@@ -104,25 +108,75 @@
 	at         Micros
 }
 
+// timer is what is done at a time.
 type timer struct {
-	at   Micros
-	seq  int
-	fire func()
+	at  Micros
+	seq int
+	do  doer
 }
 
+// doer does one thing. Each is a pointer to what it is done with under another name,
+// for a closure for every part would cost more than what most of them do.
+type doer interface{ do(*Router) }
+
+type (
+	expiry   query
+	partial  query
+	pursuit  query
+	lateness attempt
+	call     func()
+)
+
+func (q *expiry) do(r *Router)   { r.expire((*query)(q)) }
+func (q *partial) do(r *Router)  { r.partNow((*query)(q)) }
+func (q *pursuit) do(r *Router)  { r.pursue((*query)(q)) }
+func (a *lateness) do(r *Router) { r.overdue((*attempt)(a)) }
+func (f call) do(*Router)        { f() }
+
+// timers is a binary heap by time, and at one time by the order of asking. It is
+// container/heap without a value boxed for each push and pop.
 type timers []timer
 
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
-}
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	old := *t
-	x := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return x
+func (t timer) before(o timer) bool { return t.at < o.at || t.at == o.at && t.seq < o.seq }
+
+func (t *timers) push(x timer) {
+	*t = append(*t, x)
+	h := *t
+	i := len(h) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if h[parent].at <= x.at { // at one time the later asked is x
+			break
+		}
+		h[i] = h[parent]
+		i = parent
+	}
+	h[i] = x
+}
+
+func (t *timers) pop() timer {
+	h := *t
+	first, last := h[0], len(h)-1
+	x := h[last]
+	h[last] = timer{}
+	h = h[:last]
+	*t = h
+	if last == 0 {
+		return first
+	}
+	i := 0
+	for c := 1; c < last; c = 2*i + 1 {
+		if c+1 < last && h[c+1].before(h[c]) {
+			c++
+		}
+		if !h[c].before(x) {
+			break
+		}
+		h[i] = h[c]
+		i = c
+	}
+	h[i] = x
+	return first
 }
 
 // Router decides for one router. It is not safe for concurrent use.
@@ -142,6 +196,9 @@
 	numbers map[int64]*query
 	parts   map[string]*part
 	fresh   []*query
+	drawn   [][]*part // what groups returned last
+	flat    []*part   // the parts in it
+	marks   []int     // by cell: its open group and one, while groups runs
 
 	shares  map[string]*bucket
 	timers  timers
@@ -289,7 +346,8 @@
 
 // add takes a new server in, in the order of names, so that the draw doesn't hang on the list's.
 func (r *Router) add(row Server) *server {
-	s := &server{Server: row, pace: 1, blames: make(map[*class]int), served: make(map[*class]Micros)}
+	n := len(r.set.Classes)
+	s := &server{Server: row, pace: 1, blames: make([]int, n), served: make([]Micros, n)}
 	s.groups = []*group{labelled(&r.zones, row.Zone), labelled(&r.kinds, row.Kind)}
 	s.State = Gone
 	r.become(s, row.State)
@@ -355,21 +413,70 @@
 	}
 }
 
-// groups cuts parts into calls, in random order: parts whose replicas coincide share one, as far as told.
+// newPart adds a part. All parts that a query was told to have lie side by side.
+func (q *query) newPart(p part) *part {
+	if q.slab == nil {
+		n := min(max(q.size, 1), mostSlab)
+		q.slab, q.parts = make([]part, 0, n), make([]*part, 0, n)
+	}
+	if len(q.slab) == cap(q.slab) { // more came than told
+		alone := p
+		return &alone
+	}
+	q.slab = append(q.slab, p)
+	return &q.slab[len(q.slab)-1]
+}
+
+// mostSlab bounds what a told number of parts has laid out ahead.
+const mostSlab = 4096
+
+// newAttempt adds an attempt of a part.
+func (p *part) newAttempt(a attempt) {
+	if len(p.attempts) > 0 {
+		further := a
+		p.attempts = append(p.attempts, &further)
+		return
+	}
+	p.first = a
+	p.one[0] = &p.first
+	p.attempts = p.one[:]
+}
+
+// cut makes empty lists for a draw, each with room for the replicas that most
+// shards have.
+func cut(l *[7][6]*server) (a, b, c, d, e, f, g []*server) {
+	return l[0][:0], l[1][:0], l[2][:0], l[3][:0], l[4][:0], l[5][:0], l[6][:0]
+}
+
+// groups cuts parts into calls, in random order: parts whose replicas coincide share
+// one, as far as told. What it returns holds until it is called again.
 func (r *Router) groups(parts []*part) [][]*part {
-	var groups [][]*part
-	open := make(map[int]int)
-	for _, p := range parts {
-		key := p.shard % r.set.Cells
-		i, ok := open[key]
-		if !ok || len(groups[i]) >= max(1, r.set.BundleMax) {
-			i = len(groups)
-			open[key] = i
-			groups = append(groups, nil)
+	groups := r.drawn[:0]
+	if r.set.BundleMax <= 1 {
+		r.flat = append(r.flat[:0], parts...)
+		for i := range r.flat {
+			groups = append(groups, r.flat[i:i+1:i+1])
+		}
+	} else {
+		if r.marks == nil {
+			r.marks = make([]int, r.set.Cells)
+		}
+		for _, p := range parts {
+			key := p.shard % r.set.Cells
+			i := r.marks[key] - 1
+			if i < 0 || len(groups[i]) >= r.set.BundleMax {
+				i = len(groups)
+				r.marks[key] = i + 1
+				groups = append(groups, nil)
+			}
+			groups[i] = append(groups[i], p)
+		}
+		for _, p := range parts {
+			r.marks[p.shard%r.set.Cells] = 0
 		}
-		groups[i] = append(groups[i], p)
 	}
 	r.rng.Shuffle(len(groups), func(i, j int) { groups[i], groups[j] = groups[j], groups[i] })
+	r.drawn = groups
 	return groups
 }
 
@@ -390,15 +497,18 @@
 }
 
 // after runs fire once d has passed.
-func (r *Router) after(d Micros, fire func()) {
+func (r *Router) after(d Micros, fire func()) { r.alarm(d, call(fire)) }
+
+// alarm has something done once d has passed.
+func (r *Router) alarm(d Micros, do doer) {
 	r.seq++
-	heap.Push(&r.timers, timer{r.now + max(d, 1), r.seq, fire})
+	r.timers.push(timer{r.now + max(d, 1), r.seq, do})
 }
 
 // fireTimers runs what is due, in the order of its time.
 func (r *Router) fireTimers() {
 	for len(r.timers) > 0 && r.timers[0].at <= r.now {
-		heap.Pop(&r.timers).(timer).fire()
+		r.timers.pop().do.do(r)
 	}
 }
 
@@ -446,3 +556,19 @@
 	}
 	return times[i:]
 }
+
+// took notes a query or a part taken. What no budget asks for any more goes before
+// the list grows.
+func (r *Router) took() {
+	if len(r.taken) == cap(r.taken) {
+		span := Micros(copyWindow)
+		if r.set.ExtraBudget {
+			span = r.set.ExtraWindow
+		}
+		live := since(r.taken, r.now-span+1)
+		if len(live) <= len(r.taken)/2 {
+			r.taken = r.taken[:copy(r.taken, live)]
+		}
+	}
+	r.taken = append(r.taken, r.now)
+}
--- a/choice/symptoms_test.go
+++ b/choice/symptoms_test.go
@@ -809,7 +809,7 @@
 		t.Errorf("%d connections closed, idle ones taken for %.2f bad", released, g.r.idle.bad)
 	}
 	for id, s := range g.r.servers {
-		if s.window >= firstWindow && s.served[g.r.classes["some"]] > 0 {
+		if s.window >= firstWindow && s.served[g.r.classes["some"].n] > 0 {
 			t.Errorf("%s keeps a window of %.1f though its parts took 0.7 of their aim", id, s.window)
 		}
 	}
--- a/cmd/saddlelab/emulator.go
+++ b/cmd/saddlelab/emulator.go
@@ -184,8 +184,12 @@
 	if err != nil {
 		return err
 	}
+	var decided *play.Decided
+	if c.Bool("decisions") {
+		decided = &play.Decided{}
+	}
 	bar := show.NewBar(os.Stderr, s.Name)
-	run, err := play.Play(ctx, plan, play.Options{Drive: c.String("drive"), Policy: c.String("policy"), Program: program, Keep: true, Progress: bar.Set, Operator: c.String("operator"),
+	run, err := play.Play(ctx, plan, play.Options{Decided: decided, Drive: c.String("drive"), Policy: c.String("policy"), Program: program, Keep: true, Progress: bar.Set, Operator: c.String("operator"),
 		Logs: logs(c.String("out"))})
 	bar.End()
 	if err != nil {
@@ -204,6 +208,9 @@
 		return err
 	}
 	fmt.Printf("digest %s\n", record.Digest(files))
+	if decided != nil {
+		fmt.Printf("decisions %s over %d steps, %d events, %d actions\n", decided.Digest(), decided.Steps, decided.Events, decided.Actions)
+	}
 	if out := c.String("out"); out != "" {
 		if _, err := run.Save(out, s.String()); err != nil {
 			return fmt.Errorf("the result could not be kept: %w", err)
--- a/cmd/saddlelab/main.go
+++ b/cmd/saddlelab/main.go
@@ -37,6 +37,7 @@
 					&cli.StringFlag{Name: "policy", Value: "mixer", Usage: "scenario: `POLICY` mixer, oracle (sees every server's true state) or random"},
 					&cli.IntFlag{Name: "seed", Usage: "scenario: another seed"},
 					&cli.StringSliceFlag{Name: "set", Usage: "scenario: set `KEY=VALUE`, as fleet.cores=4 or rate=2"},
+					&cli.BoolFlag{Name: "decisions", Usage: "scenario, virtual drive: print a digest of all events and actions of the decisions"},
 					&cli.StringFlag{Name: "operator", Usage: "scenario, real drive: the mixers' operator `FILE`"},
 					&cli.StringFlag{Name: "out", Usage: "keep logs and the result in this `DIR`"},
 					&cli.DurationFlag{Name: "length", Usage: "play it so long instead; steps keep their times, those after it do not happen"}},
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -234,6 +234,7 @@
 	// Owned by the goroutine that runs it.
 	router  Decider
 	events  []choice.Event
+	decided []choice.Event // what events was before, to be used again
 	sends   []*Attempt // not handed over yet
 	guards  []func()   // to run once the events at hand have been decided on
 	queries map[string]*held
@@ -377,7 +378,7 @@
 	}
 	if len(x.events) > 0 {
 		events := x.events
-		x.events = nil
+		x.events = x.decided[:0]
 		for _, a := range x.router.Step(x.Clock(now), events) {
 			if _, more := a.(choice.Send); !more {
 				x.flush()
@@ -385,6 +386,11 @@
 			x.act(now, a)
 		}
 		x.flush()
+		if clear(events); cap(events) <= mostSpare {
+			x.decided = events
+		} else {
+			x.decided = nil
+		}
 	}
 	guards := x.guards
 	x.guards = nil
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -4,9 +4,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
+	"hash"
 	"time"
 
+	"saddleport/choice"
+	"saddleport/internal/exchange"
 	"saddleport/internal/lab/oracle"
 	"saddleport/internal/lab/real"
 	"saddleport/internal/lab/record"
@@ -33,6 +37,42 @@
 	Keep     bool
 	Progress func(share float64, remark string)
 	Trace    func(at time.Duration, query, text string)
+	Decided  *Decided // virtual drive: folds what was decided; nil: not
+}
+
+// Decided folds every event that any mixer's decisions got and every action that
+// came of it: two builds with the same digest on a run decided the same throughout.
+type Decided struct {
+	Steps, Events, Actions int64
+	sum                    hash.Hash
+}
+
+// Digest is of all that was decided so far.
+func (d *Decided) Digest() string {
+	if d.sum == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%x", d.sum.Sum(nil))[:32]
+}
+
+// folded is what decides, with its words folded.
+type folded struct {
+	exchange.Decider
+	mixer int
+	d     *Decided
+}
+
+func (f folded) Step(now choice.Micros, events []choice.Event) []choice.Action {
+	out := f.Decider.Step(now, events)
+	f.d.Steps, f.d.Events, f.d.Actions = f.d.Steps+1, f.d.Events+int64(len(events)), f.d.Actions+int64(len(out))
+	fmt.Fprintf(f.d.sum, "%d %d", f.mixer, now)
+	for _, e := range events {
+		fmt.Fprintf(f.d.sum, " %T%+v", e, e)
+	}
+	for _, a := range out {
+		fmt.Fprintf(f.d.sum, " %T%+v", a, a)
+	}
+	return out
 }
 
 // Play plays a plan.
@@ -66,5 +106,16 @@
 	default:
 		return nil, fmt.Errorf("there is no policy %q; there are: %s, %s, %s", opt.Policy, Mixer, Oracle, Random)
 	}
+	if d := opt.Decided; d != nil {
+		d.sum = sha256.New()
+		decide := v.Decide
+		if decide == nil {
+			decide = virtual.Mixer
+		}
+		v.Decide = func(w *virtual.World, mixer, life int, seed uint64, set choice.Settings) (exchange.Decider, error) {
+			x, err := decide(w, mixer, life, seed, set)
+			return folded{x, mixer, d}, err
+		}
+	}
 	return virtual.Run(ctx, p, v)
 }
