--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -235,8 +235,8 @@
 	router  Decider
 	events  []choice.Event
 	decided []choice.Event // what events was before, to be used again
-	sends   []*Attempt // not handed over yet
-	guards  []func()   // to run once the events at hand have been decided on
+	sends   []*Attempt     // not handed over yet
+	guards  []func()       // to run once the events at hand have been decided on
 	queries map[string]*held
 	parts   map[string]*part
 	numbers int64
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -40,6 +40,11 @@
 	var values []scenario.Value
 	if opt.Length > 0 {
 		values = append(values, scenario.Value{Key: "length", Value: opt.Length.String()})
+		if opt.Length < 20*time.Second { // the server dies and comes back all the same
+			quarter := (opt.Length / 4).String()
+			values = append(values, scenario.Value{Key: "warmup", Value: "0s"}, scenario.Value{Key: "fault.a-server-dies.at", Value: quarter},
+				scenario.Value{Key: "fault.a-server-dies.for", Value: quarter})
+		}
 	}
 	s, err := doc.Scenario(values)
 	if err != nil {
--- a/internal/lab/model/fault.go
+++ b/internal/lab/model/fault.go
@@ -99,6 +99,9 @@
 			if times++; f.Times > 0 && times > f.Times {
 				break
 			}
+			if times > mostChanges {
+				return nil, fmt.Errorf("fault %s: the script has more than %d changes", f.Name, mostChanges)
+			}
 			hits := r.Float64() < f.Chance
 			targets := []int{-1}
 			if len(f.Among) > 0 {
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -83,9 +83,10 @@
 			return nil, fmt.Errorf("policy %s: the real drive plays the program itself", opt.Policy)
 		}
 		return real.Run(ctx, p, real.Options{Program: opt.Program, Logs: opt.Logs, Operator: opt.Operator,
-			Progress: func(at, of time.Duration, open, mixers int, rss int64) {
+			Progress: func(s real.Sample) {
 				if opt.Progress != nil {
-					opt.Progress(at.Seconds()/of.Seconds(), fmt.Sprintf("%d open  %d mixers  %d MiB", open, mixers, rss>>20))
+					opt.Progress(s.At.Seconds()/s.Of.Seconds(), fmt.Sprintf("%4.0f answered/s %3.0f refused/s %3.0f failed/s %5.0f parts/s  %d open  %d servers down  %d mixers, %d MiB",
+						s.Answered, s.Refused, s.Failed, s.Parts, s.Open, s.Down, s.Mixers, s.RSS>>20))
 				}
 			}})
 	case "", Virtual:
--- a/internal/lab/real/real.go
+++ b/internal/lab/real/real.go
@@ -40,7 +40,20 @@
 	Program  string // the mixer
 	Logs     string // a folder for the mixers' logs; empty: none are kept
 	Operator string // an operator file for the mixers; empty: none
-	Progress func(at, of time.Duration, open int, mixers int, rss int64)
+	Progress func(Sample)
+}
+
+// Sample is the state of a run at one second.
+type Sample struct {
+	At, Of   time.Duration
+	Open     int     // asks not over
+	Answered float64 // a second, since the last sample
+	Refused  float64
+	Failed   float64
+	Parts    float64
+	Down     int // servers
+	Mixers   int // that run
+	RSS      int64
 }
 
 type run struct {
@@ -68,6 +81,8 @@
 	recMu sync.Mutex
 	rec   *record.Recorder
 	sent  map[string]int
+	kinds [5]int // of asks that are over, by model.Kind
+	parts int
 
 	mixMu   sync.Mutex
 	mixers  []*mixer
@@ -257,6 +272,7 @@
 	r.recMu.Lock()
 	defer r.recMu.Unlock()
 	r.sent[ask]++
+	r.parts++
 }
 
 func (r *run) delay(from, to int) (time.Duration, bool) {
@@ -320,6 +336,7 @@
 			r.recMu.Lock()
 			defer r.recMu.Unlock()
 			r.rec.Over(a, r.sent[a.ID])
+			r.kinds[a.Outcome.Kind]++
 			delete(r.sent, a.ID)
 		}}
 	stop := make(chan struct{})
@@ -513,17 +530,23 @@
 
 // watch looks at servers and mixers each second.
 func (r *run) watch(stop chan struct{}) {
+	var was [5]int
+	wasParts, wasAt := 0, r.begin
 	for s := 1; ; s++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(time.Duration(s)*time.Second - time.Since(r.begin)):
 		}
-		if time.Duration(s)*time.Second <= r.plan.Length {
-			for _, h := range r.hosts {
-				h.mu.Lock()
-				st := h.s.Look()
-				h.mu.Unlock()
+		down := 0
+		for _, h := range r.hosts {
+			h.mu.Lock()
+			st := h.s.Look()
+			h.mu.Unlock()
+			if !st.Up {
+				down++
+			}
+			if time.Duration(s)*time.Second <= r.plan.Length {
 				r.recMu.Lock()
 				r.rec.Look(s-1, &h.s.Spec, st)
 				r.recMu.Unlock()
@@ -556,7 +579,14 @@
 			r.clientMu.Lock()
 			open := r.clients.Open
 			r.clientMu.Unlock()
-			r.opt.Progress(time.Since(r.begin), r.plan.Length, open, up, rss)
+			r.recMu.Lock()
+			kinds, parts := r.kinds, r.parts
+			r.recMu.Unlock()
+			span := time.Since(wasAt).Seconds()
+			rate := func(k model.Kind) float64 { return float64(kinds[k]-was[k]) / span }
+			r.opt.Progress(Sample{At: time.Since(r.begin), Of: r.plan.Length, Open: open, Mixers: up, RSS: rss, Down: down, Answered: rate(model.Answered),
+				Refused: rate(model.Refused), Failed: rate(model.Failed) + rate(model.Lost), Parts: float64(parts-wasParts) / span})
+			was, wasParts, wasAt = kinds, parts, time.Now()
 		}
 	}
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -245,7 +245,10 @@
 	if n := w.clients.Open; n > 0 {
 		w.rec.Broke(fmt.Sprintf("%d asks were not over %v after the load", n, overtime+longest))
 		for _, m := range w.mixers {
-			m.abandon()
+			for _, id := range sorted(m.asks) {
+				m.asks[id].seen.Detail = "no answer came"
+				w.reply(m.asks[id], judge.Lost, model.Reply{Kind: model.Lost})
+			}
 		}
 	}
 	for _, m := range w.mixers {
