--- /dev/null
+++ b/internal/core/membership/membership.go
@@ -0,0 +1,745 @@
+// Package membership merges what several sources say of the trip nodes into the one
+// list that the decisions get. It owns the rule, and for every server the reason why
+// it stands as it does. It must never do I/O or read a clock, name a server that no
+// source has named, undo a drain by older news, or delay one.
+//
+// The rule (docs/design/membership.md weighs it):
+//
+//	existence   the highest-ranked source that has ever named a server decides, while
+//	            it is heard; a lower one alone can add a server, not keep one that a
+//	            higher one has dropped. A silent source neither adds nor drops: its
+//	            last word stands until Forget, and then counts as never said.
+//	identity    servers are one if a source gives the other's name as an alias; two
+//	            sources that give one address to two names name two servers, unless
+//	            Settings.ByAddress: then the higher-ranked one's name holds.
+//	address     all of the highest-ranked source that is heard and gives any; never a
+//	            mix: a server that has moved may have left its old address to another.
+//	cell        all sources that are heard must agree; while they do not, the server is
+//	            withheld: a part must not go where its segment may not be held.
+//	drain       any source's word. It is lifted by newer news of the same source, or
+//	            by that source's end. When it was first told by any is kept, whatever
+//	            the merge says.
+//	soundness   critical by any source that is heard: withheld, unless a higher-ranked
+//	            source that is heard says passing.
+//	start       the latest that any heard source tells.
+//	older news  of a source, by its index, counts for nothing, unless the source says
+//	            that its index has begun anew.
+//	flaps       each return of a server that had gone costs it a penalty that halves
+//	            with time; above a bound its next return waits. Its leaving never does.
+//	floor       where a step would take more than a share of what was listed, those
+//	            stay, until a source that is heard has said so for a while; drains are
+//	            not held up.
+//	new ones    of a source that is not trusted wait for a first sign: another source,
+//	            or the same source again after a while.
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Micros is a clock reading or a span in microseconds; the origin is the caller's.
+type Micros = int64
+
+// Health is what a source says of a server's checks.
+type Health int
+
+// The healths. Unknown is a source without checks.
+const (
+	Unknown Health = iota
+	Passing
+	Warning
+	Critical
+)
+
+// State is how a server stands in the merged list.
+type State int
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+	Withheld // named, and not to be used
+	Gone
+)
+
+// States are their names.
+var States = []string{"ready", "draining", "withheld", "gone"}
+
+func (s State) String() string { return States[s] }
+
+// Source is one source and how far it is believed.
+type Source struct {
+	Name    string
+	Rank    int    // 0 is the highest
+	Silent  Micros // without an answer for so long it is not heard
+	Forget  Micros // silent for so long, what it said is forgotten; 0: never
+	Trusted bool   // its new servers need no sign
+}
+
+// Settings are the bounds of the merge.
+type Settings struct {
+	Sources     []Source
+	ByAddress   bool    // one address is one server
+	FloorShare  float64 // a step that takes more than this share away is doubted; 0 or 1: none is
+	FloorLeast  int     // and takes so many servers at least
+	Believe     Micros  // until it is believed
+	FlapHalf    Micros  // the penalty halves in
+	FlapMost    float64 // returns wait above
+	FlapAgain   float64 // until below
+	FirstSign   Micros  // untrusted: the same source again, so much later
+	MostServers int     // beyond, new ones are not taken, and that is counted; 0: no bound
+}
+
+// Claim is what a source says of one server.
+type Claim struct {
+	Name      string
+	Aliases   []string // other names of the same server
+	Addresses []string
+	Site      string
+	Kind      string
+	Cell      int
+	HasCell   bool
+	Drain     bool
+	Health    Health
+	Weight    float64
+	Since     Micros // its start; 0: long ago or not known
+}
+
+// Observation is one answer of a source.
+type Observation struct {
+	Source string
+	Index  int64
+	Whole  bool // what is left out is dropped
+	Reset  bool // the source's index has begun anew
+	Failed bool // no answer came: nothing is said, not even that it is empty
+	Claims []Claim
+	Gone   []string // of an answer that is not whole
+}
+
+// Member is a server as the merge has it.
+type Member struct {
+	Name      string
+	State     State
+	Reason    string // why it stands so
+	Addresses []string
+	Site      string
+	Kind      string
+	Cell      int
+	Weight    float64
+	Since     Micros
+	DrainTold Micros // when the first source told; 0: none does
+}
+
+// equal tells whether two say the same to the decisions.
+func (m *Member) equal(o *Member) bool {
+	return m.State == o.State && m.Cell == o.Cell && m.Site == o.Site && m.Kind == o.Kind && m.Weight == o.Weight && m.Since == o.Since &&
+		slices.Equal(m.Addresses, o.Addresses)
+}
+
+// source is what is held of a source.
+type source struct {
+	Source
+	index   int64
+	heardAt Micros // the last answer; 0: never
+	count   int    // servers that it names
+	Calls   int64
+	Failed  int64
+	Old     int64 // answers that were older than what is held
+}
+
+// said is a source's word on a server.
+type said struct {
+	Claim
+	at      Micros // since when it says so without a break
+	drainAt Micros // since when it says drain; 0: it does not
+	dropped bool   // it named it once, and does no more
+}
+
+type server struct {
+	name     string
+	said     []*said // by the source's number; nil: it never named it
+	member   Member
+	listed   bool // ready or draining in the list that is out
+	firstAt  Micros
+	proven   bool // it has had its first sign
+	penalty  float64
+	penaltyA Micros // when the penalty was counted
+	waiting  bool   // for its penalty to fade
+	heldAt   Micros // it would have gone since then, and the floor keeps it; 0: not
+	dirty    bool
+}
+
+// Members is the merge. It is not safe for concurrent use.
+type Members struct {
+	set     Settings
+	sources []*source // by rank
+	byName  map[string]int
+	servers map[string]*server
+	alias   map[string]string // another name: the server's
+	byAddr  map[string]string
+	order   []string // names, sorted
+	dirty   []*server
+	dueAt   Micros // when time alone changes something next; 0: never
+
+	Floored  bool  // the floor holds now
+	Damped   int64 // returns that waited
+	Refused  int64 // servers beyond the bound
+	floorEnd Micros
+}
+
+// New returns a merge that knows nothing.
+func New(set Settings) (*Members, error) {
+	m := &Members{set: set, byName: make(map[string]int), servers: make(map[string]*server), alias: make(map[string]string), byAddr: make(map[string]string)}
+	if len(set.Sources) == 0 {
+		return nil, fmt.Errorf("no source")
+	}
+	for _, s := range set.Sources {
+		m.sources = append(m.sources, &source{Source: s})
+	}
+	slices.SortStableFunc(m.sources, func(a, b *source) int { return cmp.Compare(a.Rank, b.Rank) })
+	for i, s := range m.sources {
+		if _, twice := m.byName[s.Name]; twice || s.Name == "" {
+			return nil, fmt.Errorf("source %q: named twice, or without a name", s.Name)
+		}
+		m.byName[s.Name] = i
+	}
+	return m, nil
+}
+
+// Observe takes an answer of a source. Step then says what changes.
+func (m *Members) Observe(now Micros, o Observation) error {
+	n, known := m.byName[o.Source]
+	if !known {
+		return fmt.Errorf("there is no source %q", o.Source)
+	}
+	s := m.sources[n]
+	s.Calls++
+	if o.Failed {
+		s.Failed++
+		return nil
+	}
+	if o.Index < s.index && !o.Reset && s.heardAt > 0 {
+		s.Old++
+		return nil
+	}
+	wasHeard := m.heard(now, s)
+	s.index, s.heardAt = o.Index, now
+	if !wasHeard { // what it said counts again, or for the first time
+		m.touchAll(n)
+	}
+	named := make(map[string]bool, len(o.Claims))
+	for _, c := range o.Claims {
+		if v := m.find(c, n); v != nil {
+			named[v.name] = true
+			m.claim(now, v, n, c)
+		}
+	}
+	if o.Whole {
+		for _, v := range m.servers {
+			if w := v.said[n]; w != nil && !w.dropped && !named[v.name] {
+				m.drop(v, n)
+			}
+		}
+	}
+	for _, name := range o.Gone {
+		if v := m.servers[m.canonical(name)]; v != nil && v.said[n] != nil && !v.said[n].dropped && !named[v.name] {
+			m.drop(v, n)
+		}
+	}
+	return nil
+}
+
+func (m *Members) canonical(name string) string {
+	if to, ok := m.alias[name]; ok {
+		return to
+	}
+	return name
+}
+
+// find is the server that a claim is of; a new one is made where there is room.
+func (m *Members) find(c Claim, n int) *server {
+	name := m.canonical(c.Name)
+	v := m.servers[name]
+	if v == nil {
+		for _, a := range c.Aliases {
+			if v = m.servers[m.canonical(a)]; v != nil {
+				m.alias[c.Name] = v.name
+				break
+			}
+		}
+	}
+	if v == nil && m.set.ByAddress {
+		for _, a := range c.Addresses {
+			if other, ok := m.byAddr[a]; ok && m.servers[other] != nil {
+				v = m.servers[other]
+				m.alias[c.Name] = v.name
+				break
+			}
+		}
+	}
+	if v != nil {
+		return v
+	}
+	if m.set.MostServers > 0 && len(m.servers) >= m.set.MostServers {
+		m.Refused++
+		return nil
+	}
+	v = &server{name: c.Name, said: make([]*said, len(m.sources)), member: Member{Name: c.Name, State: Gone}}
+	m.servers[c.Name] = v
+	at, _ := slices.BinarySearch(m.order, c.Name)
+	m.order = slices.Insert(m.order, at, c.Name)
+	for _, a := range c.Aliases {
+		if m.servers[a] == nil {
+			m.alias[a] = c.Name
+		}
+	}
+	return v
+}
+
+func (m *Members) claim(now Micros, v *server, n int, c Claim) {
+	w := v.said[n]
+	if w == nil {
+		w = &said{at: now}
+		v.said[n] = w
+	} else if w.dropped {
+		w.at, w.dropped = now, false
+	}
+	switch {
+	case !c.Drain:
+		w.drainAt = 0
+	case w.drainAt == 0:
+		w.drainAt = max(now, 1)
+	}
+	w.Claim = c
+	if m.set.ByAddress {
+		for _, a := range c.Addresses {
+			m.byAddr[a] = v.name
+		}
+	}
+	if v.firstAt == 0 {
+		v.firstAt = max(now, 1)
+	}
+	m.touch(v)
+}
+
+func (m *Members) drop(v *server, n int) {
+	w := v.said[n]
+	w.dropped, w.drainAt = true, 0
+	m.touch(v)
+}
+
+func (m *Members) touch(v *server) {
+	if !v.dirty {
+		v.dirty = true
+		m.dirty = append(m.dirty, v)
+	}
+}
+
+func (m *Members) touchAll(n int) {
+	for _, v := range m.servers {
+		if v.said[n] != nil {
+			m.touch(v)
+		}
+	}
+}
+
+// heard tells whether a source counts as heard.
+func (m *Members) heard(now Micros, s *source) bool {
+	return s.heardAt > 0 && now-s.heardAt < s.Silent
+}
+
+// forgotten tells whether a source has been silent for so long that what it said
+// counts as never said.
+func (m *Members) forgotten(now Micros, s *source) bool {
+	return s.heardAt == 0 || s.Forget > 0 && now-s.heardAt >= s.Silent+s.Forget
+}
+
+// Step merges what has come since the last one, and what time alone has changed. It
+// returns the members that changed, by name; a caller that never saw one has it Gone.
+func (m *Members) Step(now Micros) []Member {
+	if m.dueAt > 0 && now >= m.dueAt { // somebody has fallen silent, or a wait is over
+		for _, v := range m.servers {
+			m.touch(v)
+		}
+	}
+	dirty := m.dirty
+	m.dirty = nil
+	slices.SortFunc(dirty, func(a, b *server) int { return cmp.Compare(a.name, b.name) })
+	next := make([]Member, len(dirty))
+	for i, v := range dirty {
+		v.dirty = false
+		next[i] = m.merge(now, v)
+	}
+	m.floor(now, dirty, next)
+	var out []Member
+	for i, v := range dirty {
+		to := next[i]
+		m.flap(now, v, &to)
+		was := v.member
+		v.member = to
+		if !was.equal(&to) {
+			out = append(out, to)
+		}
+	}
+	m.forget(now, dirty)
+	m.dueAt = m.due(now)
+	return out
+}
+
+// merge is the rule, but for floor and flaps, which look at more than one server or
+// at what was before.
+func (m *Members) merge(now Micros, v *server) Member {
+	to := Member{Name: v.name, State: Gone, Reason: "no source names it", Cell: v.member.Cell, Weight: 1}
+	decided := false
+	cells, cellBy := -1, ""
+	critical, passing := "", math.MaxInt
+	addressed := false
+	disagree := ""
+	for i, s := range m.sources {
+		w := v.said[i]
+		if w == nil || m.forgotten(now, s) {
+			continue
+		}
+		heard := m.heard(now, s)
+		if !decided {
+			decided = true
+			if w.dropped {
+				to.Reason = s.Name + " has dropped it"
+				if !heard {
+					to.Reason += ", and is silent since"
+				}
+			} else {
+				to.State, to.Reason = Ready, s.Name+" names it"
+				if !heard {
+					to.Reason = s.Name + " named it, and is silent since"
+				}
+			}
+		}
+		if w.dropped {
+			continue
+		}
+		if w.drainAt > 0 && (to.DrainTold == 0 || w.drainAt < to.DrainTold) {
+			to.DrainTold = w.drainAt
+		}
+		to.Since = max(to.Since, w.Since)
+		if len(w.Addresses) > 0 && (!addressed || heard && !m.addressedBy(now, v, i)) {
+			if !addressed {
+				to.Addresses, to.Site, to.Kind = w.Addresses, w.Site, w.Kind
+				if w.Weight > 0 {
+					to.Weight = w.Weight
+				}
+			}
+			addressed = true
+		}
+		if !heard {
+			continue
+		}
+		if w.HasCell {
+			switch {
+			case cells < 0:
+				cells, cellBy = w.Cell, s.Name
+			case cells != w.Cell && disagree == "":
+				disagree = fmt.Sprintf("%s says cell %d, %s cell %d", cellBy, cells, s.Name, w.Cell)
+			}
+		}
+		switch w.Health {
+		case Critical:
+			if critical == "" && passing > i {
+				critical = s.Name
+			}
+		case Passing, Warning:
+			passing = min(passing, i)
+		}
+	}
+	if cells < 0 { // only sources that are silent tell one
+		for i, s := range m.sources {
+			if w := v.said[i]; w != nil && !w.dropped && w.HasCell && !m.forgotten(now, s) && cells < 0 {
+				cells = w.Cell
+			}
+		}
+	}
+	if cells >= 0 {
+		to.Cell = cells
+	}
+	if to.State == Gone {
+		return to
+	}
+	switch {
+	case cells < 0:
+		to.State, to.Reason = Withheld, "no source tells its cell"
+	case !addressed:
+		to.State, to.Reason = Withheld, "no source tells its address"
+	case disagree != "":
+		to.State, to.Reason = Withheld, disagree
+	case critical != "":
+		to.State, to.Reason = Withheld, critical+" says that its checks are critical"
+	case !m.proven(now, v):
+		to.State, to.Reason = Withheld, "new, and without a first sign"
+	case to.DrainTold > 0:
+		to.State, to.Reason = Draining, "told to drain"
+	}
+	return to
+}
+
+// addressedBy tells whether a higher-ranked source that is heard gives addresses.
+func (m *Members) addressedBy(now Micros, v *server, below int) bool {
+	for i := range below {
+		if w := v.said[i]; w != nil && !w.dropped && len(w.Addresses) > 0 && m.heard(now, m.sources[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// proven tells whether a server has had its first sign.
+func (m *Members) proven(now Micros, v *server) bool {
+	if v.proven {
+		return true
+	}
+	by := 0
+	for i, s := range m.sources {
+		w := v.said[i]
+		if w == nil || w.dropped || !m.heard(now, s) {
+			continue
+		}
+		by++
+		if s.Trusted || by > 1 || s.heardAt-w.at >= m.set.FirstSign {
+			v.proven = true
+		}
+	}
+	return v.proven
+}
+
+// Sign is a first sign from elsewhere: the server has answered.
+func (m *Members) Sign(name string) {
+	if v := m.servers[m.canonical(name)]; v != nil && !v.proven {
+		v.proven = true
+		m.touch(v)
+	}
+}
+
+// floor keeps a mass disappearance from emptying the list: those that would go at
+// once stay as they are until that has been said for Believe.
+func (m *Members) floor(now Micros, dirty []*server, next []Member) {
+	if m.set.FloorShare <= 0 || m.set.FloorShare >= 1 {
+		return
+	}
+	listed, going := 0, 0
+	for _, v := range m.servers {
+		if v.member.State == Ready || v.member.State == Draining {
+			listed++
+			if v.heldAt > 0 {
+				going++
+			}
+		}
+	}
+	leaves := func(i int) bool {
+		was := dirty[i].member.State
+		return (was == Ready || was == Draining) && next[i].State > Draining && next[i].DrainTold == 0
+	}
+	for i, v := range dirty {
+		switch {
+		case leaves(i) && v.heldAt == 0:
+			going++
+		case !leaves(i) && v.heldAt > 0: // it is named again
+			v.heldAt = 0
+			going--
+		}
+	}
+	m.Floored = going >= max(m.set.FloorLeast, 1) && float64(going) > m.set.FloorShare*float64(listed)
+	for i, v := range dirty {
+		if !leaves(i) {
+			continue
+		}
+		if v.heldAt == 0 && !m.Floored {
+			continue
+		}
+		if v.heldAt == 0 {
+			v.heldAt = max(now, 1)
+		}
+		if now-v.heldAt >= m.set.Believe || !m.Floored {
+			v.heldAt = 0
+			continue
+		}
+		reason := next[i].Reason
+		next[i] = v.member
+		next[i].Reason = fmt.Sprintf("%s; too many go at once, so it is kept until that has been said for %d s", reason, m.set.Believe/1e6)
+	}
+}
+
+// faded is a penalty that is as good as none: a server that is gone is remembered
+// for it no longer.
+const faded = 0.1
+
+// flap holds a return back while a server has come and gone too often.
+func (m *Members) flap(now Micros, v *server, to *Member) {
+	if m.set.FlapHalf <= 0 || m.set.FlapMost <= 0 {
+		return
+	}
+	v.penalty *= math.Exp2(-float64(now-v.penaltyA) / float64(m.set.FlapHalf))
+	v.penaltyA = now
+	up := to.State == Ready || to.State == Draining
+	if !up {
+		if v.listed {
+			v.penalty++
+		}
+		v.listed, v.waiting = false, false
+		return
+	}
+	if !v.listed && !v.waiting && v.penalty > m.set.FlapMost {
+		v.waiting = true
+		m.Damped++
+	}
+	if v.waiting && v.penalty <= m.set.FlapAgain {
+		v.waiting = false
+	}
+	if v.waiting {
+		to.State, to.Reason = Withheld, fmt.Sprintf("it comes and goes: kept back until it stays (penalty %.1f, back at %.1f)", v.penalty, m.set.FlapAgain)
+		return
+	}
+	v.listed = true
+}
+
+// forget lets go of servers that no source names any more.
+func (m *Members) forget(now Micros, dirty []*server) {
+	for _, v := range dirty {
+		if v.member.State != Gone || v.heldAt > 0 {
+			continue
+		}
+		keep := v.penalty > faded && m.set.FlapHalf > 0
+		for i, s := range m.sources {
+			w := v.said[i]
+			keep = keep || w != nil && !w.dropped && !m.forgotten(now, s)
+		}
+		if keep {
+			continue
+		}
+		delete(m.servers, v.name)
+		if at, ok := slices.BinarySearch(m.order, v.name); ok {
+			m.order = slices.Delete(m.order, at, at+1)
+		}
+		for other, to := range m.alias {
+			if to == v.name {
+				delete(m.alias, other)
+			}
+		}
+		for addr, to := range m.byAddr {
+			if to == v.name {
+				delete(m.byAddr, addr)
+			}
+		}
+	}
+}
+
+// due is when time alone changes something next.
+func (m *Members) due(now Micros) Micros {
+	at := Micros(math.MaxInt64)
+	soon := func(t Micros) {
+		if t > now && t < at {
+			at = t
+		}
+	}
+	for _, s := range m.sources {
+		if s.heardAt > 0 {
+			soon(s.heardAt + s.Silent)
+			if s.Forget > 0 {
+				soon(s.heardAt + s.Silent + s.Forget)
+			}
+		}
+	}
+	for _, v := range m.servers {
+		if v.heldAt > 0 {
+			soon(v.heldAt + m.set.Believe)
+		}
+		if v.waiting {
+			// The penalty halves in FlapHalf: it is at FlapAgain after so long.
+			soon(now + Micros(float64(m.set.FlapHalf)*math.Log2(v.penalty/m.set.FlapAgain)) + 1)
+		}
+		if v.penalty > faded && v.member.State == Gone {
+			soon(now + Micros(float64(m.set.FlapHalf)*math.Log2(v.penalty/faded)) + 1)
+		}
+	}
+	if at == math.MaxInt64 {
+		return 0
+	}
+	return at
+}
+
+// Due is when Step should be called next though nothing comes in; 0: never.
+func (m *Members) Due() Micros { return m.dueAt }
+
+// Word is what one source says of a server.
+type Word struct {
+	Source    string
+	Heard     bool
+	Age       Micros // since its last answer
+	Dropped   bool
+	Drain     bool
+	Health    Health
+	Addresses []string
+	Cell      int
+	HasCell   bool
+}
+
+// Belief is a member with what it rests on.
+type Belief struct {
+	Member
+	Penalty float64
+	Words   []Word
+}
+
+// Explain tells what is believed of a server, and why; false: nobody ever named it.
+func (m *Members) Explain(now Micros, name string) (Belief, bool) {
+	v := m.servers[m.canonical(name)]
+	if v == nil {
+		return Belief{}, false
+	}
+	b := Belief{Member: v.member, Penalty: v.penalty}
+	for i, s := range m.sources {
+		if w := v.said[i]; w != nil {
+			b.Words = append(b.Words, Word{Source: s.Name, Heard: m.heard(now, s), Age: now - s.heardAt, Dropped: w.dropped, Drain: w.drainAt > 0,
+				Health: w.Health, Addresses: w.Addresses, Cell: w.Cell, HasCell: w.HasCell})
+		}
+	}
+	return b, true
+}
+
+// All are the members by name.
+func (m *Members) All() []Member {
+	out := make([]Member, 0, len(m.order))
+	for _, name := range m.order {
+		out = append(out, m.servers[name].member)
+	}
+	return out
+}
+
+// Told is a source's standing.
+type Told struct {
+	Name               string
+	Heard              bool
+	Age                Micros // since its last answer; below 0: there was none
+	Index              int64
+	Calls, Failed, Old int64
+	Servers            int
+}
+
+// Sources are the sources' standings, by rank.
+func (m *Members) Sources(now Micros) []Told {
+	var out []Told
+	for i, s := range m.sources {
+		t := Told{Name: s.Name, Heard: m.heard(now, s), Age: -1, Index: s.index, Calls: s.Calls, Failed: s.Failed, Old: s.Old}
+		if s.heardAt > 0 {
+			t.Age = now - s.heardAt
+		}
+		for _, v := range m.servers {
+			if w := v.said[i]; w != nil && !w.dropped {
+				t.Servers++
+			}
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/compare/compare_test.go
@@ -0,0 +1,73 @@
+package compare
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"saddleport/internal/lab/record"
+	"saddleport/internal/lab/sweep"
+)
+
+func side(n int, of func(seed int) record.Summary) *sweep.Result {
+	r := &sweep.Result{}
+	for i := range n {
+		r.Runs = append(r.Runs, sweep.One{Label: "-", Seed: i, Summary: of(i)})
+	}
+	return r
+}
+
+func verdicts(t *testing.T, a, b *sweep.Result) map[string]string {
+	t.Helper()
+	rows, err := Compare(a, b)
+	require.NoError(t, err)
+	out := make(map[string]string)
+	for _, r := range rows {
+		out[r.Figure] = r.Verdict
+		require.LessOrEqual(t, r.Low, r.High)
+	}
+	return out
+}
+
+// A difference that all seeds show is told; one that is within their spread is not.
+// Pairing takes out what the seeds themselves bring.
+func TestVerdicts(t *testing.T) {
+	hard := func(seed int) float64 { return float64(seed*7%10) / 100 }
+	a := side(12, func(s int) record.Summary {
+		return record.Summary{Goodput: 0.9 - hard(s), P99: int64(100000 + s*5000), Asked: 100, Refused: 5, Queries: 1}
+	})
+	b := side(12, func(s int) record.Summary {
+		return record.Summary{Goodput: 0.91 - hard(s) + float64(s%3)/1000, P99: int64(110000 + s*5000), Asked: 100, Refused: int64(5 + s%3 - 1), Queries: 1}
+	})
+	v := verdicts(t, a, b)
+	require.Equal(t, Better, v["goodput"])
+	require.Equal(t, Worse, v["p99 ms"])
+	require.Equal(t, Open, v["refused share"])
+	require.Equal(t, Same, v["failed share"])
+	v = verdicts(t, b, a)
+	require.Equal(t, Worse, v["goodput"])
+	require.Equal(t, Better, v["p99 ms"])
+	few := side(3, func(s int) record.Summary { return record.Summary{Goodput: 0.5} })
+	require.Equal(t, Open, verdicts(t, a, few)["goodput"])
+	_, err := Compare(a, &sweep.Result{Runs: []sweep.One{{Label: "-", Seed: 99}}})
+	require.ErrorContains(t, err, "in common")
+}
+
+// The interval of a mean holds the true mean about as often as it says.
+func TestCoverage(t *testing.T) {
+	held := 0
+	for i := range 200 {
+		var sample []float64
+		for k := range 20 {
+			// Even draws over 0 to 1, by a golden ratio shuffled a little by i.
+			x := float64((i*7919+k*104729+k*k*31)%1000) / 1000
+			sample = append(sample, x)
+		}
+		low, high := Bootstrap(sample, 500, 0.95)
+		if low <= 0.4995 && 0.4995 <= high {
+			held++
+		}
+	}
+	require.Greater(t, held, 160, fmt.Sprint(held))
+}
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -243,6 +243,9 @@
 	return small, nil
 }
 
+// mostShrinks bounds the runs that shrinking may take, about.
+const mostShrinks = 400
+
 // keeps tells whether a smaller scenario still shows what the larger one did: the
 // broken rule, or three quarters of the loss.
 func keeps(small, large *Find) bool {
@@ -286,6 +289,9 @@
 	}
 	for again := true; again; {
 		again = false
+		if played >= mostShrinks {
+			break
+		}
 		for _, section := range best.Doc.Sections() {
 			if section == "scenario" {
 				continue
@@ -310,21 +316,21 @@
 		if err != nil {
 			return nil, played, err
 		}
-		for _, v := range [][]scenario.Value{
-			{{Key: "length", Value: (s.Length / 2).String()}},
-			{{Key: "fleet.cells", Value: fmt.Sprint(max(s.Groups[0].Cells/2, 1))}, {Key: "rate", Value: fmt.Sprintf("%.4g", s.Rate/2)}},
-			{{Key: "mixers.count", Value: fmt.Sprint(max(s.Mixers.Count/2, 1))}},
-		} {
-			if v[0].Key == "length" && s.Length < 4*time.Second || v[0].Key != "length" && strings.HasSuffix(v[0].Value, "0") {
-				continue
-			}
-			if was, _ := best.Doc.Fixed(v); was == nil {
-				continue
-			}
-			before := best.Text
+		// Each of these ends: it halves something that has a least.
+		var halves [][]scenario.Value
+		if s.Length >= 4*time.Second {
+			halves = append(halves, []scenario.Value{{Key: "length", Value: (s.Length / 2).String()}})
+		}
+		if n := s.Groups[0].Cells; n > 1 {
+			halves = append(halves, []scenario.Value{{Key: "fleet.cells", Value: fmt.Sprint(n / 2)}, {Key: "rate", Value: fmt.Sprintf("%.4g", s.Rate/2)}})
+		}
+		if n := s.Mixers.Count; n > 1 {
+			halves = append(halves, []scenario.Value{{Key: "mixers.count", Value: fmt.Sprint(n / 2)}})
+		}
+		for _, v := range halves {
 			if ok, err := try(best.Doc, v); err != nil {
 				return nil, played, err
-			} else if ok && best.Text != before {
+			} else if ok {
 				again = true
 			}
 		}
--- /dev/null
+++ b/internal/lab/hunt/hunt_test.go
@@ -0,0 +1,61 @@
+package hunt
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"saddleport/internal/lab/scenario"
+)
+
+const text = `[scenario]
+name = h
+length = 6s
+warmup = 1s
+[mixers]
+count = 1
+[fleet]
+cells = 2
+shards = 4
+cores = 1
+[list]
+lag = 2s
+[class a]
+rate = 60
+parts = 3
+[class idle]
+rate = 1
+[fault f]
+do = fail
+at = 2s
+for = 3s
+share = 0.5
+[fault nothing]
+do = list-late
+at = 1s
+`
+
+// A hunt finds no less than it began with, its find plays as it says, and what is
+// shrunk shows the same and is smaller; the same hunt finds the same.
+func TestHunt(t *testing.T) {
+	doc, err := scenario.Text("h.ini", []byte(text))
+	require.NoError(t, err)
+	begin, err := judge(context.Background(), doc, nil, 1)
+	require.NoError(t, err)
+	opt := Options{Rounds: 2, Each: 4, Seed: 1, Notice: func(string, ...any) {}}
+	f, err := Hunt(context.Background(), doc, opt)
+	require.NoError(t, err)
+	require.Greater(t, f.Loss, 0.7*begin.Loss)
+	require.Less(t, strings.Count(f.Text, "\n"), strings.Count(text, "\n"))
+	require.NotContains(t, f.Text, "nothing")
+	again, err := scenario.Text("found.ini", []byte(f.Text))
+	require.NoError(t, err)
+	g, err := judge(context.Background(), again, nil, f.Seed)
+	require.NoError(t, err)
+	require.Equal(t, f.Loss, g.Loss)
+	same, err := Hunt(context.Background(), doc, opt)
+	require.NoError(t, err)
+	require.Equal(t, f.Text, same.Text)
+}
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -110,7 +110,8 @@
 	cap     int
 	spread  bool // two attempts of a part may be out at once
 	pushed  []string
-	done    *Verdict // of what has been settled
+	kinds   map[string]int // of faults, so far
+	done    *Verdict       // of what has been settled
 	tallies map[string]*Tally
 	spans   map[string]*hdrhistogram.Histogram
 	from    time.Time
@@ -244,7 +245,7 @@
 	Faults                                            []string // the first of them, for people
 }
 
-const mostFaults = 20
+const mostFaults = 10 // of each kind
 
 // Pass tells whether no rule was broken.
 func (v *Verdict) Pass() bool { return v.Broken() == 0 }
@@ -268,7 +269,11 @@
 }
 
 func (j *Judge) fault(format string, args ...any) {
-	if len(j.done.Faults) < mostFaults {
+	kind, _, _ := strings.Cut(format, ":")
+	if j.kinds == nil {
+		j.kinds = make(map[string]int)
+	}
+	if j.kinds[kind]++; j.kinds[kind] <= mostFaults {
 		j.done.Faults = append(j.done.Faults, fmt.Sprintf(format, args...))
 	}
 }
@@ -328,7 +333,7 @@
 		}
 		if q == nil {
 			v.Wrong++
-			j.fault("wrong: part %s was asked for by no client", id)
+			j.fault("unasked: part %s was asked for by no client", id)
 			continue
 		}
 		j.part(id, j.runs[id], q)
--- /dev/null
+++ b/internal/lab/model/model_test.go
@@ -0,0 +1,292 @@
+package model
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gonum.org/v1/gonum/stat"
+
+	"saddleport/internal/lab/event"
+)
+
+type sched struct{ *event.Loop }
+
+func (s sched) After(d time.Duration, f func()) Timer { return s.Loop.After(d, f) }
+
+const ms = time.Millisecond
+
+type seen struct {
+	ends map[string]End
+	at   map[string]time.Duration
+	l    *event.Loop
+}
+
+func put(l *event.Loop, s *Server, s2 *seen, at time.Duration, id, class string, work time.Duration) *Job {
+	j := &Job{ID: id, Class: class, Work: work, Done: func(j *Job, e End) { s2.ends[j.ID], s2.at[j.ID] = e, l.Now() }}
+	l.Post(at, func() { s.Take(j) })
+	return j
+}
+
+func stage(spec Spec) (*event.Loop, *Server, *seen) {
+	l := &event.Loop{}
+	return l, NewServer(sched{l}, spec), &seen{make(map[string]End), make(map[string]time.Duration), l}
+}
+
+// Two cores share what is in four slots; the fifth waits, the seventh is turned away.
+func TestServerWork(t *testing.T) {
+	l, s, got := stage(Spec{Cores: 2, Speed: 2, Slots: 4, Room: 2, Queue: FIFO})
+	for i, id := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		put(l, s, got, time.Duration(i)*time.Nanosecond, id, "x", 40*ms)
+	}
+	require.NoError(t, l.Run(time.Second))
+	require.Equal(t, Busy, got.ends["g"])
+	// Four parts of 40 ms on two cores of speed 2: 40 ms; then two more alone: 20 ms.
+	require.InDelta(t, 40, got.at["d"].Seconds()*1000, 0.1)
+	require.InDelta(t, 60, got.at["f"].Seconds()*1000, 0.1)
+	st := s.Look()
+	require.EqualValues(t, 7, st.Taken)
+	require.EqualValues(t, 6, st.Served)
+	require.EqualValues(t, 1, st.Busy)
+	require.InDelta(t, 240, st.Work.Seconds()*1000, 0.5)
+}
+
+func TestQueues(t *testing.T) {
+	for how, want := range map[Discipline]string{FIFO: "a b c d", LIFO: "a d c b", Shortest: "a c d b", Fair: "a c b d"} {
+		l, s, got := stage(Spec{Cores: 1, Speed: 1, Room: 9, Queue: how})
+		put(l, s, got, 0, "a", "x", 10*ms)
+		put(l, s, got, 1*ms, "b", "x", 30*ms)
+		put(l, s, got, 2*ms, "c", "y", 10*ms)
+		put(l, s, got, 3*ms, "d", "x", 20*ms)
+		require.NoError(t, l.Run(time.Second))
+		var order []string
+		for range 4 {
+			first := ""
+			for id, at := range got.at {
+				if first == "" || at < got.at[first] {
+					first = id
+				}
+			}
+			order = append(order, first)
+			delete(got.at, first)
+		}
+		require.Equal(t, want, strings.Join(order, " "), how)
+	}
+}
+
+// A server that holds too much works slower; a part given up while it waits never
+// runs; one that hangs stays; a pause delays all and answers nothing meanwhile.
+func TestServerTrouble(t *testing.T) {
+	l, s, got := stage(Spec{Cores: 1, Speed: 1, Room: 50, Queue: FIFO, Knee: 1, Loss: 1})
+	j := put(l, s, got, 1*ms, "given-up", "x", 10*ms)
+	put(l, s, got, 0, "a", "x", 10*ms)
+	l.Post(2*ms, func() { s.GiveUp(j) })
+	require.NoError(t, l.Run(time.Second))
+	require.NotContains(t, got.ends, "given-up")
+	require.InDelta(t, 10.5, got.at["a"].Seconds()*1000, 0.1) // half as fast for the millisecond with two
+
+	l, s, got = stage(Spec{Cores: 1, Speed: 1, Room: 1, Queue: FIFO})
+	on := Change{On: true, Fault: &Fault{Do: Pause}}
+	off := Change{Fault: &Fault{Do: Pause}}
+	l.Post(5*ms, func() { s.Strike(on); s.Strike(on) })
+	l.Post(10*ms, func() { s.Strike(off) })
+	l.Post(25*ms, func() { s.Strike(off) })
+	put(l, s, got, 0, "a", "x", 10*ms)
+	for i, id := range []string{"b", "c", "d"} {
+		put(l, s, got, time.Duration(6+i)*ms, id, "x", 10*ms)
+	}
+	require.NoError(t, l.Run(time.Second))
+	require.InDelta(t, 30, got.at["a"].Seconds()*1000, 0.1)
+	require.Equal(t, Busy, got.ends["c"])
+	require.GreaterOrEqual(t, got.at["c"], 25*ms)
+
+	l, s, got = stage(Spec{Cores: 4, Speed: 1, Room: 9, Queue: FIFO})
+	for _, c := range []Change{{On: true, Fault: &Fault{Do: Slow, Factor: 2}}, {On: true, Fault: &Fault{Do: Slow, Factor: 3}},
+		{On: true, Fault: &Fault{Do: Hang, Class: "y", Part: 1}}, {On: true, Fault: &Fault{Do: Fail, Class: "z", Part: 1}}} {
+		s.Strike(c)
+	}
+	l.Post(60*ms, func() { s.Strike(Change{Fault: &Fault{Do: Slow, Factor: 3}}) })
+	for _, class := range []string{"x", "y", "z"} {
+		put(l, s, got, 0, class, class, 20*ms)
+	}
+	require.NoError(t, l.Run(time.Second))
+	require.InDelta(t, 80, got.at["x"].Seconds()*1000, 0.1) // 60 ms at a sixth, then 10 ms of work at a half
+	require.Equal(t, Err, got.ends["z"])
+	require.NotContains(t, got.ends, "y")
+	require.Equal(t, 1, s.Held())
+}
+
+// A cold server warms by time; pushed over, it falls and comes back; two faults that
+// keep it down must both let go.
+func TestCold(t *testing.T) {
+	cold := Cold{Share: 0.2, Time: 10 * time.Second, Multiple: 2, Window: time.Second, Down: 500 * ms}
+	l, s, got := stage(Spec{Cores: 1, Speed: 1, Room: 1000, Queue: FIFO, Cold: cold})
+	fell, ups := 0, 0
+	s.Fell, s.Up = func(*Server) { fell++ }, func(*Server) { ups++ }
+	die := Change{On: true, Fault: &Fault{Do: Die}}
+	s.Strike(die)
+	s.Strike(die)
+	die.On = false
+	s.Strike(die)
+	up, _ := s.Running()
+	require.False(t, up)
+	s.Strike(die)
+	require.InDelta(t, 0.2, s.Share(), 1e-9)
+	put(l, s, got, 0, "a", "x", 20*ms)
+	require.NoError(t, l.Run(time.Second))
+	require.InDelta(t, 95, got.at["a"].Seconds()*1000, 6) // at a fifth, and a little more each step
+	for i := range 100 {
+		put(l, s, got, time.Duration(i)*ms, "p", "x", 20*ms)
+	}
+	require.NoError(t, l.Run(1200*ms))
+	require.Equal(t, 1, fell)
+	require.NoError(t, l.Run(3*time.Second))
+	require.Equal(t, 2, ups)
+	require.NoError(t, l.Run(20*time.Second))
+	require.Equal(t, 1.0, s.Share())
+}
+
+func TestDist(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "d"), []byte("# seen\n10ms\n20ms\n30ms\n"), 0o600))
+	for _, text := range []string{"fixed 10ms", "exp 10ms", "lognormal 10ms 0.5", "gamma 10ms 3", "pareto 5ms 3", "empirical d"} {
+		d, err := ParseDist(text, dir)
+		require.NoError(t, err, text)
+		w := Work{Dist: d, QuerySigma: 0.3, Seed: 1}
+		var all []float64
+		for i := range 40000 {
+			all = append(all, w.Of(string(rune('a'+i%26))+string(rune(i)), "3").Seconds())
+		}
+		require.InEpsilon(t, d.Mean().Seconds(), stat.Mean(all, nil), 0.05, text)
+		require.Equal(t, w.Of("q", "1"), w.Of("q", "1"))
+	}
+	// Parts of one query go together, parts of two do not.
+	d, err := ParseDist("fixed 10ms", "")
+	require.NoError(t, err)
+	w := Work{Dist: d, QuerySigma: 1, Seed: 1}
+	require.Equal(t, w.Of("q", "1"), w.Of("q", "2"))
+	require.NotEqual(t, w.Of("q", "1"), w.Of("p", "1"))
+	for _, bad := range []string{"", "fixed", "fixed 0s", "fixed -3ms", "gauss 1ms 2", "lognormal 1ms", "lognormal 1ms -1", "pareto 1ms 1", "exp 3", "exp 1ms 4 5", "empirical none", "fixed 1ms most 0s"} {
+		_, err := ParseDist(bad, dir)
+		require.Error(t, err, bad)
+	}
+}
+
+// Arrivals follow rate, curve and bursts; a trace is taken as it is.
+func TestArrivals(t *testing.T) {
+	curve, err := ParseCurve("0s:1, 10s:1, 20s:3")
+	require.NoError(t, err)
+	a := Arrivals{Rate: 200, Curve: curve, Bursts: []Burst{{At: 5 * time.Second, For: time.Second, Factor: 4}}}
+	a.Begin(1, "x")
+	count := make([]float64, 20)
+	for {
+		at, ok := a.Next(20 * time.Second)
+		if !ok {
+			break
+		}
+		count[int(at/time.Second)]++
+	}
+	require.InDelta(t, 200, count[2], 50)
+	require.InDelta(t, 800, count[5], 100)
+	require.InDelta(t, 580, count[19], 90)
+	for _, bad := range []string{"1:2", "0s:-1", "5s:1, 5s:2", "0s:1e9", "x"} {
+		_, err := ParseCurve(bad)
+		require.Error(t, err, bad)
+	}
+	file := filepath.Join(t.TempDir(), "trace")
+	require.NoError(t, os.WriteFile(file, []byte("0.5,free\n1.25\n"), 0o600))
+	trace, err := ReadTrace(file)
+	require.NoError(t, err)
+	require.Equal(t, []time.Duration{500 * ms, 1250 * ms}, trace)
+	require.NoError(t, os.WriteFile(file, []byte("2\n1\n"), 0o600))
+	_, err = ReadTrace(file)
+	require.ErrorContains(t, err, ":2:")
+}
+
+func TestZipf(t *testing.T) {
+	z, r := NewZipf(50, 1, 3), Rand(1)
+	count := make([]float64, 50)
+	for range 5000 {
+		got := z.Draw(r, 4)
+		require.Len(t, got, 4)
+		for _, s := range got {
+			count[s]++
+		}
+	}
+	require.Greater(t, count[z.order[0]], 3*count[z.order[10]])
+	require.Len(t, z.Draw(r, 99), 50)
+}
+
+// Loss costs time-outs, jitter its mean, and a cut loses all, one way or both.
+func TestNetwork(t *testing.T) {
+	n := NewNetwork([]string{"a", "b"}, Link{Delay: ms}, Link{Delay: 5 * ms, Jitter: 2 * ms, Loss: 0.1}, 1)
+	sum := 0.0
+	for range 20000 {
+		d, ok := n.Delay(0, 1)
+		require.True(t, ok)
+		sum += d.Seconds() * 1000 / 20000
+	}
+	// 5 + 2 + 0.1 * 200 + 0.01 * 400 + ...
+	require.InDelta(t, 7+200*0.1/(1-0.2), sum, 1.5)
+	n.Cut(0, 1, true)
+	n.Cut(0, 1, true)
+	n.Cut(0, 1, false)
+	_, ok := n.Delay(0, 1)
+	require.False(t, ok)
+	_, ok = n.Delay(1, 0)
+	require.True(t, ok)
+}
+
+// A script is drawn from its seed: shares, chance, repeats, and the steps of a release.
+func TestScript(t *testing.T) {
+	f := []*Fault{{Name: "a", Do: Die, At: time.Second, For: 500 * ms, Every: 2 * time.Second, Times: 3, Chance: 1, Among: []int{0, 1, 2, 3, 4, 5, 6, 7}, Share: 0.25},
+		{Name: "r", Do: Release, At: 0, For: 3 * time.Second, Extra: time.Second, Chance: 1, Among: []int{5}, Share: 1},
+		{Name: "never", Do: Mute, At: 0, Chance: 0}}
+	one, err := Script(f, 1, 10*time.Second)
+	require.NoError(t, err)
+	again, err := Script(f, 1, 10*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, one, again)
+	other, err := Script(f, 2, 10*time.Second)
+	require.NoError(t, err)
+	require.NotEqual(t, one, other)
+	require.Len(t, one, 3*2*2+4)
+	require.Equal(t, Drain, one[0].Do)
+	_, err = Script([]*Fault{{Name: "m", Do: Mute, For: 1, Every: 1, Chance: 1}}, 1, time.Second)
+	require.ErrorContains(t, err, "more than")
+}
+
+// Clients heed advice, stop at their patience and their tries, and leave.
+func TestClients(t *testing.T) {
+	l := &event.Loop{}
+	class := &Class{Name: "x", Arrivals: Arrivals{Trace: []time.Duration{0}}, Parts: 2, Zipf: NewZipf(4, 0, 1), Aim: 100 * ms, Patience: time.Second, Value: 1, Need: 1, Floor: 0.5, Partial: 0.8, LateWorth: 0.1}
+	var tries []*Try
+	var over []*Ask
+	c := &Clients{Sched: sched{l}, Classes: []*Class{class}, Retry: Retry{Most: 5, Pause: 10 * ms, Grow: 1, Heed: 1, Mark: true}, Length: time.Second,
+		Pick: func(uint64) int { return 0 }, Over: func(a *Ask) { over = append(over, a) }, Leave: func(*Try) {}}
+	c.Send = func(t *Try) {
+		tries = append(tries, t)
+		l.Post(5*ms, func() { c.Reply(t, Reply{Kind: Refused, RetryAfter: 300 * ms}) })
+	}
+	c.Begin()
+	require.NoError(t, l.Run(10*time.Second))
+	require.Len(t, over, 1)
+	require.Len(t, tries, 4) // 0, 305, 610, 915 ms; the next would come after its patience
+	require.False(t, tries[0].Repeat)
+	require.True(t, tries[3].Repeat)
+	require.Equal(t, 85*ms, tries[3].Patience)
+	require.Zero(t, c.Open)
+	for _, w := range []struct {
+		r     Reply
+		after time.Duration
+		want  float64
+	}{{Reply{Whole: true}, 50 * ms, 1}, {Reply{Whole: true}, 500 * ms, 0.1}, {Reply{Share: 0.75}, 50 * ms, 0.6}, {Reply{Share: 0.25}, 50 * ms, 0},
+		{Reply{Kind: Refused}, 0, 0}, {Reply{Whole: true}, 2 * time.Second, 0}} {
+		require.InDelta(t, w.want, class.Worth(w.r, w.after), 1e-9)
+	}
+	require.False(t, math.IsNaN(class.Worth(Reply{}, 0)))
+}
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -4,6 +4,7 @@
 // which it goes wrong.
 
 import (
+	"math"
 	"time"
 )
 
@@ -183,6 +184,21 @@
 	return float64(s.Cores) * s.Speed * s.Share() / slow
 }
 
+// ColdRoom is the work that a cold server may be sent now before it falls, in
+// seconds of a core of speed 1, without the slack for chance; a warm one bears all.
+func (s *Server) ColdRoom() float64 {
+	if !s.cold || s.Cold.Multiple <= 0 || s.Share() >= 1 {
+		return math.Inf(1)
+	}
+	room := s.Cold.Multiple * s.Capacity() * s.Cold.Window.Seconds()
+	for _, w := range s.sent {
+		if w.at > s.sched.Now()-s.Cold.Window {
+			room -= w.work
+		}
+	}
+	return room
+}
+
 // Backlog is the work of what it has, in seconds of a core of speed 1.
 func (s *Server) Backlog() float64 {
 	s.count()
@@ -209,6 +225,10 @@
 // Take takes a part. Its Done is called once, unless it is given up or the process
 // ends before.
 func (s *Server) Take(j *Job) {
+	if !s.up {
+		j.state = over
+		return
+	}
 	s.stats.Taken++
 	s.seq++
 	j.seq, j.index = s.seq, -1
@@ -234,6 +254,7 @@
 			j.Ran(j)
 		}
 	case len(s.heap) < s.slots():
+		s.room.turn = j.Class
 		s.start(j)
 		s.settle()
 	case s.waits >= s.Room:
--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -254,8 +254,8 @@
 		if !up || c <= 0 || s.Sick(x.q.class.Name) || !p.w.Reaches(p.n, n) || s.Held() >= s.Room+s.Cores {
 			continue
 		}
-		// A cold server is let have half of what it bears.
-		if share := s.Share(); share < 1 && s.Backlog() > 0.5*c*s.Cold.Window.Seconds()*min(s.Cold.Multiple, 1) {
+		// A cold server is let have half of what it bears: other mixers send too.
+		if share := s.Share(); share < 1 && s.ColdRoom() < 0.5*s.Cold.Multiple*c*s.Cold.Window.Seconds() {
 			continue
 		}
 		// What this mixer has on its way there is not seen there yet.
--- /dev/null
+++ b/internal/lab/oracle/oracle_test.go
@@ -0,0 +1,66 @@
+package oracle
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"saddleport/internal/lab/record"
+	"saddleport/internal/lab/scenario"
+	"saddleport/internal/lab/virtual"
+)
+
+const returning = `[scenario]
+name   = returning
+length = 12s
+warmup = 1s
+[fleet]
+cells    = 4
+replicas = 3
+shards   = 8
+cores    = 2
+cold-time = 8s
+[list]
+lag = 300ms
+[class free-slots]
+rate  = 300
+parts = 5
+[class book-trip]
+rate   = 40
+parts  = 1
+effect = single_shot
+[fault d]
+do  = die
+at  = 2s
+for = 3s
+who = cell 1
+`
+
+func play(t *testing.T, decide virtual.Decide) *record.Run {
+	t.Helper()
+	doc, err := scenario.Text("test.ini", []byte(returning))
+	require.NoError(t, err)
+	s, err := doc.Scenario(nil)
+	require.NoError(t, err)
+	p, err := s.Plan(1)
+	require.NoError(t, err)
+	run, err := virtual.Run(context.Background(), p, virtual.Options{Decide: decide})
+	require.NoError(t, err)
+	return run
+}
+
+// Cold servers are not pushed over: a policy that knows no windows and no cold
+// breaks the rule, and the judge sees it; the mixer's and the one that sees all keep
+// every rule.
+func TestCold(t *testing.T) {
+	blind := play(t, Blind)
+	require.Positive(t, blind.Verdict.Pushed)
+	require.Contains(t, strings.Join(blind.Verdict.Faults, "\n"), "fell while it was cold")
+	mixer, sees := play(t, virtual.Mixer), play(t, True)
+	require.Zero(t, mixer.Verdict.Broken(), "%s", mixer.Verdict.Faults)
+	require.Zero(t, sees.Verdict.Broken(), "%s", sees.Verdict.Faults)
+	require.Greater(t, sees.Summary.Goodput, blind.Summary.Goodput)
+	require.Greater(t, mixer.Summary.Goodput, blind.Summary.Goodput)
+}
--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -238,6 +238,9 @@
 
 // value is what each class earned of what it was worth.
 func value(r *record.Run) (string, error) {
+	if len(r.Classes) == 0 {
+		return "", nil
+	}
 	p := newPlot("Value by class", "", "of what was asked for")
 	var names []string
 	var earned plotter.Values
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,110 @@
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const good = "[scenario]\nname = x\n[class a]\nrate = 5\n"
+
+// What is absurd is an error that names file, section, key and line; never a hang.
+func TestBad(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                                                                "no section [scenario]",
+		"[scenario]\nname = x\n":                                          "no section [class NAME]",
+		good + "[fleet]\ncells = 0\n":                                     `x.ini:6: [fleet] cells: "0" is not within`,
+		good + "[fleet]\nreplicas = 0\n":                                  "0 servers in all",
+		good + "[fleet]\ncores = -4\n":                                    `x.ini:6: [fleet] cores`,
+		good + "[fleet]\ncels = 4\n":                                      "is cells meant?",
+		good + "[fleet]\nwidth = 9\n":                                     "is more than there are cells",
+		good + "[fleet]\ncells = 20000\nreplicas = 64\n":                  "not within 1 to 20000",
+		good + "[class b]\nrate = 1000000000\n":                           `rate: "1000000000" is not within`,
+		good + "[class b]\nrate = 1000000\nparts = 4000\n[x y]\n":         "no such section",
+		good + "[class b]\nrate = 1000000\nparts = 4000\n":                "the run would have",
+		good + "[class b]\nfloor = 0.9\nneed = 0.5\n":                     "x.ini:6: [class b] floor: 0.9 is above need",
+		good + "[class b]\nwork = lognormal 10ms\n":                       "[class b] work: lognormal wants a number",
+		good + "[class b]\naim = 9s\n":                                    "is above patience",
+		good + "[class b]\ntrace = nowhere\n":                             "no such file",
+		good + "[load]\ncurve = 5:1\n":                                    "[load] curve",
+		good + "[fault f]\ndo = die\n":                                    "at must be given",
+		good + "[fault f]\ndo = explode\nat = 1s\n":                       "is none of",
+		good + "[fault f]\ndo = die\nat = 1s\nwho = server z\n":           "names no server",
+		good + "[fault f]\ndo = cut\nat = 1s\nwho = amman irbid\n":        "is not two of the sites",
+		good + "[fault f]\ndo = die\nat = 90s\n":                          "is not before the end",
+		good + "[fault f]\ndo = die\nat = 1s\nevery = 1s\n":               "with every it must be given",
+		good + "[fault f]\ndo = pause\nat = 0s\nevery = 1ns\nfor = 1ns\n": "more than 1048576 changes",
+		good + "[link amman]\n":                                           "a link is [link SITE SITE]",
+		good + "[link amman mars]\n":                                      "is none of the sites",
+		good + "[burst b]\nat = 1s\nfor = 1s\nclass = z\n":                "there is no class",
+		"[include]\nfiles = none.ini\n" + good:                            "no such file",
+		"[vary]\nrate = ,\n" + good:                                       "no values",
+	} {
+		doc, err := Text("x.ini", []byte(text))
+		if err == nil {
+			_, err = doc.Scenario(doc.Variations()[0])
+		}
+		require.ErrorContains(t, err, want, text)
+	}
+}
+
+// A file stands over what it includes; complaints name the file they are in;
+// variations are all combinations.
+func TestLayers(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		return file
+	}
+	write("base.ini", good+"[fleet]\ncells = 2\ncores = 3\n")
+	top := write("top.ini", "[include]\nfiles = base.ini\n[fleet]\ncores = 7\n[vary]\nrate = 1, 2\nclass.a.parts = 1, 2, 3\n")
+	doc, err := Open(top)
+	require.NoError(t, err)
+	require.Len(t, doc.Variations(), 6)
+	s, err := doc.Scenario(doc.Variations()[4])
+	require.NoError(t, err)
+	require.Equal(t, 2, s.Groups[0].Cells)
+	require.Equal(t, 7, s.Groups[0].Cores)
+	require.Equal(t, 2.0, s.Rate)
+	require.Equal(t, 2, s.Classes[0].Parts)
+	require.Equal(t, "rate=2 class.a.parts=2", Label(s.Values))
+	// Written as one file it is the same scenario.
+	flat, err := Text("flat.ini", []byte(s.String()))
+	require.NoError(t, err)
+	again, err := flat.Scenario(nil)
+	require.NoError(t, err)
+	require.Equal(t, s.String(), again.String())
+
+	write("base.ini", good+"[fleet]\ncells = 2\ncores = no\n")
+	_, err = Open(write("more.ini", "[include]\nfiles = base.ini\n[fleet]\ncells = 3\n"))
+	require.NoError(t, err)
+	_, err = Read(filepath.Join(dir, "more.ini"))
+	require.ErrorContains(t, err, "base.ini:7: [fleet] cores")
+	write("a.ini", "[include]\nfiles = b.ini\n"+good)
+	write("b.ini", "[include]\nfiles = a.ini\n"+good)
+	_, err = Open(filepath.Join(dir, "a.ini"))
+	require.ErrorContains(t, err, "includes itself")
+	_, err = Text("v.ini", []byte("[vary]\nrate = "+strings.Repeat("1, ", 10001)+"2\n"+good))
+	require.ErrorContains(t, err, "more than 10000 variations")
+}
+
+func FuzzScenario(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(good + "[fleet]\ncells = 3\n[fault f]\ndo = release\nat = 1s\nfor = 9s\nwho = cell 1\n[vary]\nrate = 1, 2\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		doc, err := Text("x.ini", text)
+		if err != nil {
+			return
+		}
+		s, err := doc.Scenario(doc.Variations()[0])
+		if err != nil {
+			return
+		}
+		require.Positive(t, s.Servers())
+		require.LessOrEqual(t, s.Servers(), MostServers)
+	})
+}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -228,6 +228,9 @@
 	}
 	w.clients.Begin()
 	for at := time.Duration(0); at < end; {
+		if err := w.ctx.Err(); err != nil {
+			return err
+		}
 		if at = min(at+time.Second, end); at < p.Length {
 			at = p.Length
 		}
