--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -90,7 +90,7 @@
 		p.Legend.Add(l.name, c)
 	}
 	p.Y.Min = least
-	if p.Y.Max = top * 1.15; most > 0 {
+	if p.Y.Max = top * 1.5; most > 0 {
 		p.Y.Max = most
 	}
 	if p.Y.Max <= p.Y.Min {
@@ -183,7 +183,7 @@
 		list, width := buckets(r, c.Name)
 		lines = append(lines, line{name: c.Name, points: series(list, width, good), dashed: true})
 	}
-	return curves("Goodput: value earned over value asked for", "share", 0, 1.08, lines, r.Events)
+	return curves("Goodput: value earned over value asked for", "share", 0, 1.6, lines, r.Events)
 }
 
 // latency is the time to an answer, from when it was due, by percentile.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -50,7 +50,7 @@
 const style = `<style>
 body{font:15px/1.45 system-ui,sans-serif;color:#222;max-width:76em;margin:1.5em auto;padding:0 1em}
 h1{font-size:1.5em;margin:0 0 .2em}h2{font-size:1.1em;margin:1.6em 0 .4em;border-bottom:1px solid #ccc}
-table{border-collapse:collapse;font-variant-numeric:tabular-nums}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #e4e4e4}
+table{border-collapse:collapse;font-variant-numeric:tabular-nums}td,th{white-space:nowrap;padding:.2em .7em;text-align:right;border-bottom:1px solid #e4e4e4}
 th{font-weight:600;background:#f4f4f4}td:first-child,th:first-child{text-align:left}
 .pass{color:#0a6b3d;font-weight:700}.fail{color:#b00020;font-weight:700}
 .charts{display:grid;grid-template-columns:repeat(auto-fit,minmax(34em,1fr));gap:1em}
