--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -33,6 +33,7 @@
 	endAt choice.Micros
 	parts []*part
 	got   float64
+	begun bool
 	ended bool
 }
 
@@ -209,6 +210,11 @@
 	if q.ended {
 		return
 	}
+	if p.sees && !q.begun && p.tooLate(q) {
+		p.giveUp(q)
+		return
+	}
+	q.begun = true
 	stuck := false
 	for _, x := range q.parts {
 		if x.served || x.out != "" || x.attempts >= p.set.AttemptCap || x.ran && q.class.Effect != choice.Safe {
@@ -228,8 +234,26 @@
 	}
 }
 
+// tooLate tells whether so much of a query would come after its aim that it is better
+// refused at once: what is queued for nothing delays the rest.
+func (p *policy) tooLate(q *query) bool {
+	inTime := 0.0
+	for _, x := range q.parts {
+		if s, wait := p.first(x); s != "" && wait < 0.7*float64(q.class.Aim)/1e6 {
+			inTime += x.weight
+		}
+	}
+	return inTime < min(q.class.Need, max(q.class.Floor, 1e-6))-1e-6
+}
+
 // best is the server where a part would be done first: by the true state, or any.
 func (p *policy) best(x *part) string {
+	s, _ := p.first(x)
+	return s
+}
+
+// first is best, and how long it would take there, in seconds.
+func (p *policy) first(x *part) (string, float64) {
 	var names []string
 	for j := range p.set.Width {
 		for _, name := range p.cells[(x.shard+j)%p.set.Cells] {
@@ -240,9 +264,9 @@
 	}
 	if !p.sees {
 		if len(names) == 0 {
-			return ""
+			return "", 0
 		}
-		return names[p.rng.IntN(len(names))]
+		return names[p.rng.IntN(len(names))], 0
 	}
 	best, least := "", 0.0
 	for _, i := range p.rng.Perm(len(names)) {
@@ -264,7 +288,7 @@
 			best, least = name, wait
 		}
 	}
-	return best
+	return best, least
 }
 
 func (p *policy) outcome(ev choice.Outcome) {
