Mend what fuzzing found: a drop below shard 0, an operator text without sections

Run with -fuzz for the first time: the decoder took a drop of shard -1, which its own form can't carry back; operator.Parse of a text without a section left its values at zero, where Load gives defaults (serve and check use Load).

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -74,6 +74,9 @@
 // Parse is Load on a text.
 func Parse(path string, text []byte, sections []Section) (*File, error) {
 	f := &File{Path: path, sections: sections, origins: make(map[string]Origin)}
+	for _, s := range sections {
+		inifile.Default(s.Into)
+	}
 	doc, err := inifile.Parse(path, text)
 	if err != nil {
 		return nil, err
--- a/sdk/hookabi/binary.go
+++ b/sdk/hookabi/binary.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 	"unicode/utf8"
 )
@@ -462,6 +463,8 @@
 	switch {
 	case len(r.Drop) > MaxList:
 		return errors.New("drop: too many shards")
+	case slices.ContainsFunc(r.Drop, func(n int) bool { return n < 0 }):
+		return errors.New("drop: a shard below 0")
 	case len(r.Reason) > MaxReason || !printable(r.Reason):
 		return errors.New("reason: at most 200 printable characters")
 	case r.Left < 0:
