--- a/internal/lab/real/host.go
+++ b/internal/lab/real/host.go
@@ -89,7 +89,8 @@
 	nc   net.Conn
 	in   chan later
 	out  chan later
-	jobs map[string]*flight
+	come map[string]*flight // whose frame has come, whether or not the modelled way lets it through
+	jobs map[string]*flight // that the server has
 	end  sync.Once
 	over chan struct{}
 }
@@ -193,7 +194,7 @@
 			continue
 		}
 		h := d.h
-		c := &conn{d: d, nc: nc, in: make(chan later, mostQueue), out: make(chan later, mostQueue), jobs: make(map[string]*flight), over: make(chan struct{})}
+		c := &conn{d: d, nc: nc, in: make(chan later, mostQueue), out: make(chan later, mostQueue), jobs: make(map[string]*flight), come: make(map[string]*flight), over: make(chan struct{})}
 		h.mu.Lock()
 		if d.ln != ln {
 			h.mu.Unlock()
@@ -228,11 +229,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(c.d.conns, c)
-	for _, f := range c.jobs {
+	for _, f := range c.come {
 		f.seen.Over(time.Now(), "")
+	}
+	for _, f := range c.jobs {
 		h.s.GiveUp(&f.job)
 	}
-	c.jobs = nil
+	c.jobs, c.come = nil, nil
 }
 
 // flow lets things happen when they are due, in order.
@@ -291,13 +294,17 @@
 			for _, p := range parts {
 				now := time.Now()
 				f := &flight{seen: h.r.j.Arrived(p.ID, h.name, now)}
+				h.mu.Lock()
+				c.come[p.ID] = f
+				h.mu.Unlock()
 				c.carry(c.in, c.d.site, h.site, func() { c.take(p, f, now) })
 			}
 		case 'X':
 			id, now := string(rest), time.Now()
 			h.mu.Lock()
-			if f := c.jobs[id]; f != nil {
+			if f := c.come[id]; f != nil {
 				f.seen.Over(now, "")
+				delete(c.come, id)
 			}
 			h.mu.Unlock()
 			c.carry(c.in, c.d.site, h.site, func() { c.giveUp(id, now) })
@@ -361,6 +368,9 @@
 		return
 	}
 	delete(c.jobs, p.ID)
+	if c.come[p.ID] == f {
+		delete(c.come, p.ID)
+	}
 	a := frame.Answer{ID: p.ID, End: []string{"ok", "err", "busy"}[e], Report: "-"}
 	if e == model.OK {
 		a.Score, a.Value = 1, []byte(c.d.h.name+"/"+p.ID)
