--- a/internal/hook/wasm/wasm.go
+++ b/internal/hook/wasm/wasm.go
@@ -92,7 +92,11 @@
 	if err != nil {
 		return err
 	}
-	if p.compiled, err = p.runtime.CompileModule(ctx, p.src.Text); err != nil {
+	text, err := bound(p.src.Text, maxFrames)
+	if err != nil {
+		return err
+	}
+	if p.compiled, err = p.runtime.CompileModule(ctx, text); err != nil {
 		return err
 	}
 	for name, want := range map[string][2]int{"hook_abi": {0, 1}, "hook_alloc": {1, 1}, "hook_call": {3, 1}} {
@@ -213,6 +217,8 @@
 	switch {
 	case errors.As(err, &exit) && (exit.ExitCode() == sys.ExitCodeDeadlineExceeded || exit.ExitCode() == sys.ExitCodeContextCanceled), ctx.Err() != nil:
 		return hook.Faultf(hook.Overrun, "%s: time budget exceeded", p.src.File)
+	case tooDeep(i.mod):
+		return hook.Faultf(hook.Memory, "%s: its calls go too deep: frames of more than %d bytes", p.src.File, maxFrames)
 	case full:
 		return hook.Faultf(hook.Memory, "%s: its memory is full: %v", p.src.File, err)
 	case errors.As(err, &exit):
@@ -221,6 +227,12 @@
 	return hook.Faultf(hook.Thrown, "%s: %v", p.src.File, err)
 }
 
+// tooDeep tells whether a module was stopped for its depth.
+func tooDeep(m api.Module) bool {
+	g := m.ExportedGlobal(depthName)
+	return g != nil && uint32(g.Get()) > maxFrames
+}
+
 // replace closes an instance and makes another one.
 func (p *program) replace(i *instance) {
 	p.mu.Lock()
--- a/internal/lab/hookcost/hookcost.go
+++ b/internal/lab/hookcost/hookcost.go
@@ -59,6 +59,7 @@
 	Loads   []Load
 	PipeP50 float64 // one exchange with a helper process over pipes, us
 	PipeP99 float64
+	Deeps   []Deep
 }
 
 var points = []hookabi.Point{hookabi.Taken, hookabi.Admission, hookabi.Send, hookabi.Answered, hookabi.Answer, hookabi.Ended}
@@ -86,6 +87,9 @@
 		return nil, fmt.Errorf("%w (sdk/build.sh makes it)", err)
 	}
 	t := &Table{Machine: fmt.Sprintf("%s, %s/%s, %d processors", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())}
+	if err := t.recursion(ctx); err != nil { // first: what the system gave stays given
+		return nil, err
+	}
 	for _, e := range []struct {
 		name, file string
 		text       []byte
@@ -201,6 +205,14 @@
 	if err := grid(w, rows); err != nil {
 		return err
 	}
+	fmt.Fprintln(w)
+	rows = [][]string{{"a module that calls itself for ever", "at once", "MiB from the system", "all stopped after ms", "as"}}
+	for _, d := range t.Deeps {
+		rows = append(rows, []string{d.Frame, fmt.Sprint(d.AtOnce), f(d.MiB), f(d.EndedMS), d.Fault})
+	}
+	if err := grid(w, rows); err != nil {
+		return err
+	}
 	_, err := fmt.Fprintf(w, "\nThe same view to another process and back over pipes, nothing done to it: p50 %s us, p99 %s us.\n", f(t.PipeP50), f(t.PipeP99))
 	return err
 }
