--- a/internal/lab/drill/file.go
+++ b/internal/lab/drill/file.go
@@ -43,6 +43,8 @@
 	Abort    float64       `ini:"abort" default:"0.1" range:"0..1" help:"share of reshapes that are taken back"`
 	Die      float64       `ini:"die" default:"0.05" range:"0..1" help:"share of steps at which the coordinator dies"`
 	Away     time.Duration `ini:"away" default:"300ms" range:"0s..1m" help:"until it comes back"`
+	CutKill  float64       `ini:"cut-kill" default:"0" range:"0..1" help:"share of cuts right after which all servers of the new owner die"`
+	CutAway  time.Duration `ini:"cut-away" default:"2s" range:"10ms..1m" help:"until they come back, cold"`
 	Fence    bool          `ini:"fence" default:"yes" help:"no: leaf servers book on when they are to be fenced; the judge must find it"`
 }
 
@@ -55,6 +57,8 @@
 	Room     int           `ini:"room" default:"200" range:"0..100000" help:"parts that wait there; beyond: turned away"`
 	Median   time.Duration `ini:"median" default:"10ms" range:"10us..1m" help:"work of a part"`
 	Sigma    float64       `ini:"sigma" default:"0.4" range:"0..3" help:"of its logarithm"`
+	Cold     float64       `ini:"cold" default:"0" range:"0..1" help:"share of its capacity that a server has which comes back; 0: all"`
+	Warm     time.Duration `ini:"warm" default:"18s" range:"10ms..10m" help:"until it has all of it"`
 }
 
 // Class is a section [class NAME].
@@ -78,10 +82,11 @@
 type Step struct {
 	Name   string
 	At     time.Duration `ini:"at" need:"yes" range:"0s..1h"`
-	Do     string        `ini:"do" need:"yes" oneof:"hooks reload bad-hooks disable enable stop hang fail busy claim well kill revive drain serve" help:"hooks: another set; bad-hooks: one that must be rejected; stop: SIGTERM, the load goes on for 0.3 s"`
+	Do     string        `ini:"do" need:"yes" oneof:"hooks reload bad-hooks disable enable stop hang fail busy claim well kill revive drain serve evacuate" help:"evacuate: all segments of a cell move at once; hooks: another set; bad-hooks: one that must be rejected; stop: SIGTERM, the load goes on for 0.3 s"`
 	Set    string        `ini:"set" help:"hooks: its folder, from the drill's"`
 	By     string        `ini:"by" default:"signal" oneof:"signal command" help:"hooks: SIGHUP or the control socket"`
 	Hook   string        `ini:"hook" help:"disable, enable"`
+	Cell   int           `ini:"cell" default:"0" range:"0..63" help:"evacuate"`
 	Server string        `ini:"server" help:"leaf servers are named s-CELL-REPLICA, from 0"`
 }
 
@@ -94,6 +99,8 @@
 	Kinds       []string      `ini:"fault-kinds" oneof:"overrun memory thrown garbage forbidden busy short quarantined" help:"kinds that must be among them"`
 	SwapsLeast  int           `ini:"swaps-least" default:"0" range:"0..1000" help:"sets that must have been put in force"`
 	OpenedLeast int           `ini:"opened-least" default:"0" range:"0..1000" help:"breakers that must have opened"`
+	CutKills    int           `ini:"cut-kills-least" default:"0" range:"0..100000" help:"new owners that must have died right after a cut"`
+	Evacuated   int           `ini:"evacuated-least" default:"0" range:"0..100000" help:"segments that must have moved at once"`
 	Reshapes    int           `ini:"reshapes-least" default:"0" range:"0..100000" help:"reshapes that must have come to their end"`
 	AnswerLeast float64       `ini:"answered-least" default:"0" range:"0..1" help:"share of each class that must be answered"`
 	CallsLeast  int           `ini:"calls-least" default:"0" range:"0..100000000" help:"calls of hooks"`
@@ -203,6 +210,9 @@
 func (p *Step) check(s *inifile.Section, d *Drill) error {
 	need := map[string]string{"hooks": "set", "bad-hooks": "set", "disable": "hook", "enable": "hook", "hang": "server", "fail": "server",
 		"busy": "server", "claim": "server", "well": "server", "kill": "server", "revive": "server", "drain": "server", "serve": "server"}[p.Do]
+	if p.Do == "evacuate" && (p.Cell >= d.Fleet.Cells || d.Reshape.Segments == 0) {
+		return s.Fault("cell", "%d: there is none, or no [reshape]", p.Cell)
+	}
 	if need != "" && !s.Has(need) {
 		return s.Fault("do", "%s wants a %s", p.Do, need)
 	}
--- a/internal/lab/drill/run.go
+++ b/internal/lab/drill/run.go
@@ -85,6 +85,9 @@
 	addrs  map[string]string
 	world  *reshape.World
 	mixers []*child.Mixer
+	leafMu sync.Mutex // over leaves, once the drill runs
+
+	evacuating sync.WaitGroup
 
 	mu       sync.Mutex
 	broken   []string
@@ -164,7 +167,7 @@
 		}
 		var err error
 		if r.world, err = reshape.New(reshape.Config{Cells: cells, Segments: c.Segments, PerSeg: c.PerSeg, Every: every, Step: c.Step, Lag: c.Lag,
-			Abort: c.Abort, Die: c.Die, Away: c.Away, NoFence: !c.Fence, Seed: uint64(d.Seed), Judge: r.j}); err != nil {
+			Abort: c.Abort, Die: c.Die, Away: c.Away, NoFence: !c.Fence, CutKill: c.CutKill, Kill: r.killCell, Seed: uint64(d.Seed), Judge: r.j}); err != nil {
 			return err
 		}
 	}
@@ -197,7 +200,7 @@
 		cell, _ := strconv.Atoi(strings.Split(name, "-")[1])
 		keeper = &reshape.Keeper{W: r.world, Cell: cell}
 	}
-	return leaf.Model{Keeper: keeper, Cores: f.Cores, Room: f.Room, Median: f.Median, Sigma: f.Sigma, Seed: uint64(r.d.Seed)<<16 + uint64(i)}
+	return leaf.Model{Keeper: keeper, Warm: f.Warm, Cores: f.Cores, Room: f.Room, Median: f.Median, Sigma: f.Sigma, Seed: uint64(r.d.Seed)<<16 + uint64(i)}
 }
 
 func (r *run) entry(name, status string) disco.Entry {
@@ -384,6 +387,7 @@
 	steps.Wait()
 	<-watched
 	reshaping.Wait()
+	r.evacuating.Wait()
 	span := time.Since(begin)
 	r.look(begin)
 	r.end()
@@ -482,15 +486,22 @@
 		time.Sleep(stopLoad)
 		stop()
 	case "hang", "fail", "busy", "claim", "well":
+		r.leafMu.Lock()
+		defer r.leafMu.Unlock()
 		r.leaves[s.Server].Set(map[string]leaf.Mode{"hang": leaf.Hang, "fail": leaf.Fail, "busy": leaf.Busy, "claim": leaf.Claim, "well": leaf.Well}[s.Do])
 	case "kill":
+		r.leafMu.Lock()
 		r.leaves[s.Server].Close()
+		r.leafMu.Unlock()
 	case "revive":
-		i := indexOf(r.d.Servers(), s.Server)
-		r.leaves[s.Server].Close()
-		var l *leaf.Server
-		if l, err = leaf.Listen(s.Server, r.addrs[s.Server], r.model(i, s.Server), r.j); err == nil {
-			r.leaves[s.Server] = l
+		err = r.revive(s.Server)
+	case "evacuate":
+		if r.hooks { // not in the run at rest
+			r.evacuating.Go(func() {
+				if err := r.world.Evacuate(s.Cell); err != nil {
+					r.fail("step %s: %v", s.Name, err)
+				}
+			})
 		}
 	case "drain":
 		r.disco.Put(r.entry(s.Server, "DRAINING"))
@@ -502,6 +513,48 @@
 	}
 }
 
+// revive has a dead server come back, cold where the drill says so.
+func (r *run) revive(name string) error {
+	m := r.model(indexOf(r.d.Servers(), name), name)
+	m.Cold = r.d.Fleet.Cold
+	r.leafMu.Lock()
+	defer r.leafMu.Unlock()
+	r.leaves[name].Close()
+	l, err := leaf.Listen(name, r.addrs[name], m, r.j)
+	if err != nil {
+		return err
+	}
+	r.leaves[name] = l
+	if m.Cold > 0 {
+		e := r.entry(name, "SERVING")
+		e.Since = time.Now().UnixMilli()
+		r.disco.Put(e)
+	}
+	return nil
+}
+
+// killCell has all servers of a cell die, and come back a while later.
+func (r *run) killCell(cell int) <-chan struct{} {
+	back := make(chan struct{})
+	names := r.d.Servers()[cell*r.d.Fleet.Replicas : (cell+1)*r.d.Fleet.Replicas]
+	for _, name := range names {
+		r.leafMu.Lock()
+		l := r.leaves[name]
+		r.leafMu.Unlock()
+		l.Close()
+	}
+	go func() {
+		defer close(back)
+		time.Sleep(r.d.Reshape.CutAway)
+		for _, name := range names {
+			if err := r.revive(name); err != nil {
+				r.fail("server %s did not come back: %v", name, err)
+			}
+		}
+	}()
+	return back
+}
+
 func indexOf(list []string, s string) int {
 	for i, x := range list {
 		if x == s {
@@ -565,7 +618,7 @@
 		x.Kill()
 	}
 	if r.world != nil {
-		r.world.Close()
+		r.world.Close() // once the servers that it killed are back
 	}
 	if r.disco != nil {
 		r.disco.Close()
--- a/internal/lab/drill/verdict.go
+++ b/internal/lab/drill/verdict.go
@@ -102,6 +102,12 @@
 	if n := main.Reshapes["done"]; n < e.Reshapes {
 		unmet("%d reshapes came to their end, and %d must", n, e.Reshapes)
 	}
+	if n := main.Reshapes["owner died after the cut"]; n < e.CutKills {
+		unmet("%d new owners died right after a cut, and %d must", n, e.CutKills)
+	}
+	if n := main.Reshapes["evacuated"]; n < e.Evacuated {
+		unmet("%d segments moved at once, and %d must", n, e.Evacuated)
+	}
 	r.Pass = len(r.Unmet) == 0
 	return r
 }
--- a/internal/lab/leaf/leaf.go
+++ b/internal/lab/leaf/leaf.go
@@ -33,6 +33,8 @@
 	// value; where it is not held any more by then, nothing was done.
 	Begin(server string, p frame.Part) (finish func() (value string, held bool), epoch int64, held bool)
 	Epoch() int64
+	// Lost is told of a part that had begun as its server died, and was not finished.
+	Lost(p frame.Part)
 	// Claim does a part whether or not the cell holds it: a server that lies.
 	Claim(server string, p frame.Part) (finish func() (value string, held bool))
 }
@@ -45,6 +47,11 @@
 	Median time.Duration
 	Sigma  float64
 	Seed   uint64
+
+	// A server that starts cold does Cold of what it can, and evenly more until all
+	// after Warm. Cold 0: it is warm at once.
+	Cold float64
+	Warm time.Duration
 }
 
 // Mode is how a server behaves.
@@ -67,11 +74,13 @@
 	j     *judge.Judge
 	ln    net.Listener
 	done  chan struct{}
+	born  time.Time
 	conns sync.WaitGroup
 
 	mu      sync.Mutex
 	mode    Mode
 	open    map[net.Conn]bool
+	running map[*work]bool
 	waiting []*work
 	busy    int
 }
@@ -103,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{Name: name, Addr: ln.Addr().String(), model: m, j: j, ln: ln, done: make(chan struct{}), open: make(map[net.Conn]bool)}
+	s := &Server{Name: name, Addr: ln.Addr().String(), model: m, j: j, ln: ln, done: make(chan struct{}), born: time.Now(), open: make(map[net.Conn]bool), running: make(map[*work]bool)}
 	s.conns.Add(1)
 	go s.serve()
 	return s, nil
@@ -135,6 +144,14 @@
 	}
 	s.mu.Unlock()
 	s.conns.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.running { // what a process was doing dies with it
+		if w.timer.Stop() && w.finish != nil {
+			s.model.Keeper.Lost(w.part)
+		}
+	}
+	clear(s.running)
 }
 
 func (s *Server) serve() {
@@ -262,6 +279,11 @@
 
 // start runs what waits while cores are free. Under mu.
 func (s *Server) start() {
+	select {
+	case <-s.done: // it is dead
+		return
+	default:
+	}
 	for s.busy < s.model.Cores && len(s.waiting) > 0 {
 		w := s.waiting[0]
 		s.waiting = s.waiting[1:]
@@ -281,6 +303,7 @@
 		}
 		s.busy++
 		w.attempt.Ran()
+		s.running[w] = true
 		w.timer = time.AfterFunc(s.span(w.part.ID), func() { s.finish(w) })
 	}
 }
@@ -290,7 +313,11 @@
 	h := fnv.New64a()
 	h.Write([]byte(id))
 	r := rand.New(rand.NewPCG(s.model.Seed, h.Sum64()))
-	return time.Duration(float64(s.model.Median) * math.Exp(s.model.Sigma*r.NormFloat64()))
+	span := float64(s.model.Median) * math.Exp(s.model.Sigma*r.NormFloat64())
+	if m := s.model; m.Cold > 0 && time.Since(s.born) < m.Warm {
+		span /= m.Cold + (1-m.Cold)*float64(time.Since(s.born))/float64(m.Warm)
+	}
+	return time.Duration(span)
 }
 
 // away turns a part away that is not held here. Under mu.
@@ -307,6 +334,7 @@
 		value, held = w.finish()
 	}
 	s.mu.Lock()
+	delete(s.running, w)
 	if !held && !w.gone {
 		s.busy--
 		w.attempt.NeverRan()
--- a/internal/lab/reshape/reshape.go
+++ b/internal/lab/reshape/reshape.go
@@ -37,6 +37,8 @@
 	Die      float64          // share of steps at which the coordinator dies, and comes back after Away
 	Away     time.Duration
 	NoFence  bool
+	CutKill  float64                        // share of cuts right after which the new owner's cell dies
+	Kill     func(cell int) <-chan struct{} // has all servers of a cell die; closed once they are back
 	Seed     uint64
 	Judge    *judge.Judge
 }
@@ -56,9 +58,12 @@
 	next    uint32
 	number  int64
 	busy    map[uint32]bool
+	down    map[int]bool // cells that are dead: the coordinator can't reach them
 	counts  map[string]int
 	changed chan struct{}
 
+	killed sync.WaitGroup
+
 	feedMu sync.Mutex
 	told   []published // what the feed has, some of it not visible yet
 }
@@ -73,7 +78,7 @@
 
 // New makes a world and starts its feed.
 func New(c Config) (*World, error) {
-	w := &World{Config: c, r: rand.New(rand.NewPCG(c.Seed, 77)), owners: make(map[int]*placement.Owner), busy: make(map[uint32]bool),
+	w := &World{Config: c, r: rand.New(rand.NewPCG(c.Seed, 77)), owners: make(map[int]*placement.Owner), busy: make(map[uint32]bool), down: make(map[int]bool),
 		counts: make(map[string]int), changed: make(chan struct{})}
 	govs := []string{"amman", "aqaba", "irbid", "karak", "zarqa"}
 	n := c.Segments * c.PerSeg
@@ -126,7 +131,10 @@
 }
 
 // Close ends the feed.
-func (w *World) Close() { w.http.Close() }
+func (w *World) Close() {
+	w.killed.Wait()
+	w.http.Close()
+}
 
 // Counts are what happened: reshapes by how they ended, steps at which the
 // coordinator died, parts turned away.
@@ -319,6 +327,9 @@
 		if done {
 			r.Told(d)
 		}
+		if done && d == placement.Activate {
+			w.cut(r)
+		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -330,10 +341,71 @@
 	}
 }
 
-// order does what a reshape wants and tells whether it is done.
+// cut has the cell of a new owner die right after it was told to accept, now and
+// then: one cell at a time.
+func (w *World) cut(r *placement.Reshape) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cell := r.Targets[len(r.Targets)-1].Cell
+	if w.Kill == nil || w.CutKill == 0 || len(w.down) > 0 || w.r.Float64() >= w.CutKill {
+		return
+	}
+	w.down[cell] = true
+	w.counts["owner died after the cut"]++
+	w.killed.Add(1)
+	go func() {
+		defer w.killed.Done()
+		<-w.Kill(cell)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.down, cell)
+	}()
+}
+
+// Evacuate moves all segments of a cell at once, and returns when that is over.
+func (w *World) Evacuate(cell int) error {
+	w.mu.Lock()
+	var all []*placement.Reshape
+	for _, s := range w.m.Segments() {
+		if s.Cell != cell {
+			continue
+		}
+		w.number++
+		to := s
+		to.Cell = (cell + 1 + len(all)%max(len(w.Cells)-1, 1)) % len(w.Cells)
+		r, err := w.m.Plan(w.number, []uint32{s.ID}, []placement.Segment{to}, func(id uint32) bool { return w.busy[id] })
+		if err != nil { // it is being reshaped already
+			continue
+		}
+		w.busy[s.ID] = true
+		all = append(all, r)
+	}
+	w.counts["evacuated"] += len(all)
+	w.mu.Unlock()
+	if len(all) == 0 {
+		return fmt.Errorf("cell %d holds nothing that could be moved", cell)
+	}
+	var ended sync.WaitGroup
+	for _, r := range all {
+		ended.Go(func() { w.drive(r) })
+	}
+	ended.Wait()
+	return nil
+}
+
+// order does what a reshape wants and tells whether it is done. Cells that are dead
+// do nothing.
 func (w *World) order(r *placement.Reshape, d placement.Doing) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, list := range [][]placement.Segment{r.Sources, r.Targets} {
+		for _, s := range list {
+			if w.down[s.Cell] && d != placement.Publish {
+				w.counts["waited for a dead cell"]++
+				return false
+			}
+		}
+	}
 	span := placement.Range{From: r.Sources[0].From, To: r.Sources[len(r.Sources)-1].To}
 	switch d {
 	case placement.Copy, placement.CopyLast:
@@ -497,6 +569,17 @@
 	}
 }
 
+// Lost implements leaf.Keeper: what was begun and not stored had no effect.
+func (k *Keeper) Lost(p frame.Part) {
+	k.W.mu.Lock()
+	defer k.W.mu.Unlock()
+	query, _, _ := strings.Cut(p.ID, ".")
+	if _, ranges, ok := names(p); ok && k.W.owners[k.Cell].Running[ranges[0].From] == query {
+		delete(k.W.owners[k.Cell].Running, ranges[0].From)
+		k.W.counts["bookings lost in a death"]++
+	}
+}
+
 // Epoch is what the cell has heard of.
 func (k *Keeper) Epoch() int64 {
 	k.W.mu.Lock()
