--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,5 @@
-// Package choice decides for a client that reads many shards for one query.
-// Its interface, the settings, events and actions, is in api.go; what it holds
-// is in state.go; every decision and every tuned value is in this file.
+// Package choice decides for a client that reads many shards for one query. Its interface, the settings,
+// events and actions, is in api.go; what it holds is in state.go; every decision and value is in this file.
 //
 // The mechanism: the parts of a query go to more shards than it needs where it
 // needs only some, each to a replica drawn at random among those with room; the
@@ -36,6 +35,7 @@
 package choice
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -94,6 +94,7 @@
 const (
 	coldSafety  = 0.7  // of the work a cold server is thought to bear: one router's best span overstates it
 	bearFade    = 0.95 // per span of rules.fall: how fast the load that servers bore is forgotten
+	bearSure    = 2.0  // spreads taken off what the best server bore: the best of many owes it to chance too
 	copyRatio   = 0.20 // second copies per part taken, where no rule says
 	lateShare   = 0.25 // of the budget that is left: what one query may take of it for copies
 	retryRatio  = 0.5  // all further attempts, the same
@@ -192,9 +193,7 @@
 	p := q.newPart(part{id: ev.ID, q: q, shard: ev.Shard, weight: ev.Weight, stretch: 1})
 	if c := q.class; ev.Hinted && ev.Predicted > 0 {
 		h := float64(ev.Predicted)
-		if c.hint == 0 {
-			c.hint = h
-		}
+		c.hint = cmp.Or(c.hint, h)
 		p.stretch = min(max(h/c.hint, 1/hintSpread), hintSpread)
 		c.hint += (h - c.hint) * quantileStep
 	}
@@ -744,7 +743,7 @@
 			// It serves: what it left unanswered is that class's trouble; forgiving it hid that for good.
 			s.blames[s.cause.n], s.blame, s.cause = max(s.blames[s.cause.n], s.blame), 0, nil
 		}
-		r.bins++
+		s.bins++
 		if age > slowShare*float64(c.Aim) {
 			if r.cutOff(s) != s.groups[0] { // else the way is long, not the server full
 				r.shrink(a)
@@ -885,8 +884,11 @@
 	if span < max(r.set.Fall, 1) || r.ready == 0 {
 		return
 	}
-	r.bearing = max(float64(r.bins)/(float64(span)/1e6)/float64(r.ready), r.bearing*bearFade)
-	r.bins, r.binAt = 0, r.now
+	sum, best := 0.0, 0.0
+	for _, s := range r.servers {
+		sum, best, s.bins = sum+s.bins, max(best, (s.bins-bearSure*math.Sqrt(s.bins))/max(s.Scale, 1)), 0
+	}
+	r.bearing, r.binAt = max(max(sum/float64(r.ready), best)/(float64(span)/1e6), r.bearing*bearFade), r.now
 }
 
 // ---- The server list.
@@ -955,9 +957,7 @@
 func (r *Router) ask() {
 	r.do(Watch{On: true})
 	wait := Micros(float64(r.set.AskWithin) * askShare)
-	if r.askGap == 0 {
-		r.askGap = Micros(float64(wait) * askFirst)
-	}
+	r.askGap = cmp.Or(r.askGap, Micros(float64(wait)*askFirst))
 	r.askAt = r.now + wait
 	r.after(wait, r.askDue)
 }
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -326,3 +326,28 @@
 		t.Errorf("a full server drawn %d times", got["c0-3"])
 	}
 }
+
+// What a cold server may be sent rests on what a single one was surely seen to bear:
+// with one server busy and the others at rest, the mean says a third of it.
+func TestBearingIsOfTheServerThatBoreMost(t *testing.T) {
+	g := listed(t, 3, nil)
+	for _, s := range g.r.servers {
+		s.bins = 4
+	}
+	g.r.servers["c0-0"].bins = 400
+	span := g.r.set.Fall
+	g.r.now = g.r.binAt + span
+	g.r.roll()
+	if want := (400 - 2*20) / (float64(span) / 1e6); g.r.bearing != want {
+		t.Fatalf("bears %v a second, want %v", g.r.bearing, want)
+	}
+	g.r.now += span
+	for _, s := range g.r.servers { // few on each: the best of them owes it to chance
+		s.bins = 4
+	}
+	g.r.bearing = 0
+	g.r.roll()
+	if want := 4 / (float64(span) / 1e6); g.r.bearing != want {
+		t.Fatalf("bears %v a second, want the mean, %v", g.r.bearing, want)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,6 +28,7 @@
 	served   []Micros // the same, by class
 	coldFrom Micros   // start of its cold time; 0: warm
 	groups   []*group
+	bins     float64 // parts served since Router.binAt
 	saved    float64 // while cold: the parts it may be sent
 	savedAt  Micros
 	leaveAt  Micros // while draining: until then it may be drawn, as a last resort
@@ -214,7 +215,6 @@
 	size    float64  // parts of a query, smoothed
 	missed  float64  // share of recent queries admitted that missed their aim
 	ready   int
-	bins    int // parts served since binAt
 	binAt   Micros
 	bearing float64 // parts a second that one server of size 1 was seen to bear
 }
