Move the platform's list to source/targets; several addresses a server, tried by RFC 8305

Other installations reach a trip node over IPv4, IPv6 and a Unix socket, and other lists of servers are to come beside the platform's. The watch on discovery is a package of its own now, which the client side knows by an interface; nothing of what it does has changed. core/eyeballs (pure) orders addresses and races them; internal/back opens them, and an address gets no part before it has answered a probe. A source that drops what it drained does not lift the drain.

--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -14,10 +14,10 @@
 	"github.com/tidwall/gjson"
 
 	"saddleport/choice"
-	"saddleport/internal/back"
 	"saddleport/internal/exchange"
 	"saddleport/internal/front"
 	"saddleport/internal/settings"
+	"saddleport/internal/source/targets"
 )
 
 // Config is what the platform tells a mixer.
@@ -30,7 +30,7 @@
 	memoryMB, sockets       int
 	settings                settings.Settings
 	known                   choice.List
-	addrs                   map[string]string
+	addrs                   targets.Addrs
 	pace                    front.Pace
 	stay                    time.Duration
 	operator                string // the operator file; empty: none
@@ -95,7 +95,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if known := doc.Get("known"); known.Type != gjson.Null { // neither absent nor null
-		if c.known, c.addrs, err = back.ParseList([]byte(known.Raw), c.settings.Router.Cells); err != nil {
+		if c.known, c.addrs, err = targets.Parse([]byte(known.Raw), c.settings.Router.Cells, true); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -27,6 +27,7 @@
 	"saddleport/internal/hook"
 	"saddleport/internal/logs"
 	"saddleport/internal/source/segments"
+	"saddleport/internal/source/targets"
 )
 
 const (
@@ -67,7 +68,7 @@
 type mixer struct {
 	cfg  *Config
 	x    *exchange.Exchange
-	back *back.Back
+	list *targets.Watch
 	host *hook.Host     // nil without an operator file
 	feed *segments.Feed // nil: shards are what the settings say
 
@@ -86,7 +87,7 @@
 // of discovery. A file that is wrong anywhere changes nothing: half of it might
 // belong to another version of the fleet.
 func (m *mixer) reload() {
-	c, b := m.cfg, m.back
+	c := m.cfg
 	now, err := Load(c.path, c.env)
 	if err == nil {
 		err = now.Check()
@@ -111,7 +112,7 @@
 	log.Info("reload", "discovery", now.discovery, "was", c.discovery, "kept", strings.Join(kept, ","))
 	if now.discovery != c.discovery {
 		c.discovery = now.discovery
-		b.Switch(c.discovery)
+		m.list.Switch(c.discovery)
 	}
 	m.apply(op)
 	if m.host != nil { // a set takes a while to load; a bad one leaves the old one, and is logged
@@ -144,8 +145,10 @@
 		return err
 	}
 	leaves := (cfg.sockets - spareFiles) / leafShare
-	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, Discovery: cfg.discovery, MaxConns: leaves})
-	m := &mixer{cfg: cfg, x: x, back: b}
+	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, MaxConns: leaves})
+	w := targets.New(cfg.discovery, cfg.settings.Router.Cells, cfg.known.Version, false, b)
+	b.List = w
+	m := &mixer{cfg: cfg, x: x, list: w}
 	if op.File.Path != "" {
 		m.host = hook.NewHost(op.Hooks, Engines(), cfg.settings.Router.Classes)
 		x.SetHooks(m.host, op.Hooks.ForwardTags)
@@ -184,7 +187,7 @@
 		f.Shards, f.Ready = 0, m.feed.Held
 	}
 	stop := make(chan struct{})
-	b.Apply(cfg.known, cfg.addrs)
+	b.Told(cfg.known, cfg.addrs)
 	go x.Run(b, stop)
 	go b.Run(stop)
 	served := make(chan error, 1)
--- a/internal/back/fuzz_test.go
+++ b/internal/back/fuzz_test.go
@@ -14,6 +14,7 @@
 	"saddleport/choice"
 	"saddleport/internal/exchange"
 	"saddleport/internal/settings"
+	"saddleport/internal/source/targets"
 )
 
 // FuzzPeers feeds any bytes as a leaf server's frames and as discovery's list:
@@ -30,12 +31,12 @@
 		c.probes = []*call{{s: c.s, c: c, state: out}}
 		for r := bufio.NewReader(strings.NewReader(raw)); c.frame(r) == nil; {
 		}
-		if list, addrs, err := ParseList([]byte(raw), set.Router.Cells); err == nil {
+		if list, addrs, err := targets.Parse([]byte(raw), set.Router.Cells, true); err == nil {
 			for _, s := range list.Servers {
 				require.True(t, s.ID != "" && s.Cell >= 0 && s.Cell < 2 && s.UpSince >= 0, "%+v", s)
 				require.Contains(t, addrs, s.ID)
 			}
-			b.Apply(list, addrs)
+			b.Told(list, addrs)
 		}
 	})
 }
--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -1,15 +1,15 @@
 // Package back is the client side: it owns the connections to leaf servers, the
-// frames on them, and what discovery tells of where those servers are. It does
+// frames on them, and where those servers are. It does
 // what the exchange asks and reports how it ended. It must never decide where a
 // part goes, send one twice, start anything on a server that has long been said
 // to drain, or let one silent server hold up another.
 //
-// This file holds the leaf connections; discovery.go holds the list.
+// This file holds the leaf connections; race.go opens those to a server that has
+// several addresses.
 package back
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -21,10 +21,12 @@
 	"unicode/utf8"
 
 	"saddleport/choice"
+	"saddleport/internal/core/eyeballs"
 	"saddleport/internal/exchange"
 	"saddleport/internal/frame"
 	"saddleport/internal/logs"
 	"saddleport/internal/settings"
+	"saddleport/internal/source/targets"
 )
 
 const (
@@ -46,17 +48,24 @@
 
 // Config is what the client side is told at its start.
 type Config struct {
-	Exchange  *exchange.Exchange
-	Settings  settings.Settings
-	Discovery string
-	MaxConns  int // leaf connections at once, those being opened included
+	Exchange *exchange.Exchange
+	Settings settings.Settings
+	List     Lister
+	Stagger  time.Duration // between tries of a server's addresses; 0: 250 ms
+	MaxConns int           // leaf connections at once, those being opened included
+}
+
+// Lister is where the list of servers comes from; what it says comes by Told.
+type Lister interface {
+	Watch(on bool)
+	Fetch()
+	Run(stop <-chan struct{})
 }
 
 // Back is the client side. It implements exchange.Leaves.
 type Back struct {
 	Config
-	watch watcher
-	dial  net.Dialer
+	dial net.Dialer
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -65,13 +74,25 @@
 }
 
 type server struct {
-	name, addr string
-	stopAt     time.Time // when nothing may start any more; zero: serving
-	conns      []*conn
-	waiting    []*call // for a connection
-	dialing    bool
+	name    string
+	addrs   []string  // the first is the one that logs name
+	stopAt  time.Time // when nothing may start any more; zero: serving
+	conns   []*conn
+	waiting []*call // for a connection
+	dialing bool
+	seen    eyeballs.Memory // of its addresses, where it has several
+}
+
+func (s *server) addr() string {
+	if len(s.addrs) == 0 {
+		return ""
+	}
+	return s.addrs[0]
 }
 
+// at tells whether the server is said to be at an address.
+func (s *server) at(addr string) bool { return slices.Contains(s.addrs, addr) }
+
 type state int
 
 const (
@@ -104,6 +125,7 @@
 	s      *server
 	nc     net.Conn
 	addr   string
+	in     *bufio.Reader // nil: nothing has been read yet
 	ready  *sync.Cond
 	queue  []item
 	calls  map[string]*call     // attempts by part id, until ended or given up in writing
@@ -122,8 +144,6 @@
 // New returns a client side that knows no server yet.
 func New(cfg Config) *Back {
 	b := &Back{Config: cfg, servers: make(map[string]*server), calls: make(map[*exchange.Attempt]*call)}
-	b.watch.kick, b.watch.addr = make(chan struct{}, 1), cfg.Discovery
-	b.watch.current, b.watch.end = context.WithCancel(context.Background())
 	b.dial.Timeout = time.Duration(cfg.Settings.DialTimeout) * time.Microsecond
 	if b.dial.Timeout <= 0 {
 		b.dial.Timeout = dialFallback
@@ -133,7 +153,7 @@
 
 // Run keeps the connections and the watch until stop is closed.
 func (b *Back) Run(stop <-chan struct{}) {
-	go b.runWatch(stop)
+	go b.List.Run(stop)
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
@@ -141,7 +161,6 @@
 		case <-stop:
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			b.watch.end()
 			for _, s := range b.servers {
 				for _, c := range slices.Clone(s.conns) {
 					c.fail(nil)
@@ -218,6 +237,69 @@
 	}
 }
 
+// Watch starts or ends the watch on the list.
+func (b *Back) Watch(on bool) { b.List.Watch(on) }
+
+// Fetch asks for the whole list once.
+func (b *Back) Fetch() { b.List.Fetch() }
+
+// ---- The list.
+
+// Failed implements targets.Taker.
+func (b *Back) Failed() {
+	b.Exchange.Counters.ListFails.Add(1)
+	b.Exchange.Listed(choice.List{Form: choice.Failed})
+}
+
+// Told implements targets.Taker: it takes a list for the connections and hands it to
+// the exchange.
+func (b *Back) Told(list choice.List, addrs targets.Addrs) {
+	if list.Form != choice.Cached {
+		b.Exchange.Counters.Lists.Add(1)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	named := make(map[string]bool, len(list.Servers))
+	for _, row := range list.Servers {
+		named[row.ID] = true
+		s := b.servers[row.ID]
+		if s == nil {
+			s = &server{name: row.ID}
+			b.servers[row.ID] = s
+		}
+		if a := addrs[row.ID]; len(a) > 0 && a[0] != "" {
+			s.addrs = a
+		}
+		b.mayStart(s, row.State == choice.Ready)
+	}
+	if list.Form != choice.Delta {
+		for name, s := range b.servers {
+			if !named[name] {
+				b.mayStart(s, false)
+			}
+		}
+	}
+	for name, s := range b.servers { // gone for long, with nothing left
+		if s.drained() && !named[name] && len(s.conns) == 0 && len(s.waiting) == 0 && !s.dialing {
+			delete(b.servers, name)
+		}
+	}
+	if len(list.Servers) > 0 || list.Form != choice.Delta {
+		log.Info("list", "form", int(list.Form), "version", list.Version, "entries", len(list.Servers))
+	}
+	b.Exchange.Listed(list)
+}
+
+// mayStart notes from when on nothing may start on a server.
+func (b *Back) mayStart(s *server, ready bool) {
+	if ready {
+		s.stopAt = time.Time{}
+	} else if s.stopAt.IsZero() {
+		grace := time.Duration(b.Settings.Router.DrainGrace) * time.Microsecond
+		s.stopAt = time.Now().Add(max(grace-drainMargin, 0))
+	}
+}
+
 // ---- Under b.mu.
 
 // place finds a call its connection, or has one opened. A connection on which
@@ -235,7 +317,7 @@
 	var best *conn
 	live, alone := 0, b.Settings.Router.BundleMax <= 1 // else parts of one moment keep together, to share a frame
 	for _, c := range s.conns {
-		if c.silent || c.addr != s.addr || b.Settings.StreamsPerConn > 0 && len(c.calls) >= b.Settings.StreamsPerConn {
+		if c.silent || !s.at(c.addr) || b.Settings.StreamsPerConn > 0 && len(c.calls) >= b.Settings.StreamsPerConn {
 			continue
 		}
 		live++
@@ -290,9 +372,13 @@
 		return
 	}
 	s.dialing = true
+	if len(s.addrs) > 1 || strings.HasPrefix(s.addr(), unixPrefix) {
+		b.race(s)
+		return
+	}
 	b.conns++
 	b.Exchange.Counters.Dials.Add(1)
-	go b.connect(s, s.addr)
+	go b.connect(s, s.addr())
 }
 
 // evict closes the leaf connection that has idled longest.
@@ -313,7 +399,7 @@
 
 func (b *Back) failWaiting(s *server, err error) {
 	b.Exchange.Counters.DialFails.Add(1)
-	log.Warn("dial-failed", "server", s.name, "addr", s.addr, "waiting", len(s.waiting), "err", err)
+	log.Warn("dial-failed", "server", s.name, "addr", s.addr(), "waiting", len(s.waiting), "err", err)
 	failed := s.waiting
 	s.waiting = nil
 	for _, k := range failed {
@@ -326,7 +412,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.dialing = false
-	if err != nil || addr != s.addr {
+	if err != nil || !s.at(addr) {
 		b.conns--
 		if nc != nil {
 			nc.Close()
@@ -338,8 +424,13 @@
 		}
 		return
 	}
-	c := &conn{b: b, s: s, nc: nc, addr: addr, ready: sync.NewCond(&b.mu), usedAt: time.Now(), heardAt: time.Now(),
-		calls: make(map[string]*call), stale: make(map[string]time.Time)}
+	b.add(s, &conn{nc: nc, addr: addr})
+}
+
+// add takes a connection that has come up.
+func (b *Back) add(s *server, c *conn) {
+	c.b, c.s, c.ready, c.usedAt, c.heardAt = b, s, sync.NewCond(&b.mu), time.Now(), time.Now()
+	c.calls, c.stale = make(map[string]*call), make(map[string]time.Time)
 	s.conns = append(s.conns, c)
 	b.Exchange.Counters.Leaves.Add(1)
 	go c.write()
@@ -393,6 +484,9 @@
 		late := v == choice.NoAnswer || 2*time.Since(k.sentAt) > k.a.Until.Sub(k.sentAt)
 		if !c.silent && (late || lasting) {
 			c.silent = true
+			if len(c.s.addrs) > 1 { // the next connection is tried elsewhere first
+				c.s.seen.Bad(c.addr, clock())
+			}
 			c.b.Exchange.Counters.Silent.Add(1)
 			log.Warn("leaf-silent", "server", c.s.name, "addr", c.addr, "parts", len(c.calls))
 		}
@@ -414,7 +508,7 @@
 	keep := time.Duration(float64(b.Settings.Router.Keepalive)*idleShare) * time.Microsecond
 	for _, s := range b.servers {
 		for _, c := range slices.Clone(s.conns) {
-			if c.idle() && (c.addr != s.addr || keep > 0 && time.Since(c.usedAt) > keep) {
+			if c.idle() && (!s.at(c.addr) || keep > 0 && time.Since(c.usedAt) > keep) {
 				c.fail(nil)
 				continue
 			}
@@ -579,7 +673,10 @@
 }
 
 func (c *conn) read() {
-	r := bufio.NewReader(c.nc)
+	r := c.in
+	if r == nil {
+		r = bufio.NewReader(c.nc)
+	}
 	for {
 		err := c.frame(r)
 		if err != nil {
--- /dev/null
+++ b/internal/core/eyeballs/eyeballs.go
@@ -0,0 +1,205 @@
+// Package eyeballs decides in which order the addresses of one server are tried, and
+// when the next one is begun: Happy Eyeballs, RFC 8305, with Unix sockets as the
+// nearest family. It owns that order and what is remembered of each address. It must
+// never begin two tries of one address at once, name two winners, or forget a try
+// that has been begun: each ends by Ready, Failed or Drop.
+package eyeballs
+
+import (
+	"slices"
+	"strings"
+)
+
+// Micros is a clock reading or a span in microseconds.
+type Micros = int64
+
+// Unix is what the address of a Unix socket begins with.
+const Unix = "unix:"
+
+// Family of an address.
+type Family int
+
+// The families, in the order in which they are preferred. Names are resolved by the
+// system, so their family is not known beforehand.
+const (
+	Local Family = iota
+	IPv6
+	IPv4
+	Named
+)
+
+// FamilyOf tells the family of an address: unix:PATH, [IPv6]:PORT, IPv4:PORT or
+// NAME:PORT.
+func FamilyOf(addr string) Family {
+	if strings.HasPrefix(addr, Unix) {
+		return Local
+	}
+	if strings.HasPrefix(addr, "[") {
+		return IPv6
+	}
+	host, _, _ := strings.Cut(addr, ":")
+	if host == "" || strings.Trim(host, "0123456789.") != "" {
+		return Named
+	}
+	return IPv4
+}
+
+// What an address that does not work costs it.
+const (
+	firstRest = Micros(1_000_000)
+	mostRest  = Micros(60_000_000)
+	mostKept  = 32 // addresses that are remembered of one server
+)
+
+// standing is what is remembered of an address.
+type standing struct {
+	addr  string
+	bad   int    // times in a row that it did not work
+	until Micros // it goes last until then
+	good  Micros // when it last worked; 0: never
+}
+
+// Memory is what has been learnt of a server's addresses. Its zero value knows
+// nothing. It keeps a bounded number, those of late.
+type Memory struct{ all []standing }
+
+func (m *Memory) of(addr string) *standing {
+	i := slices.IndexFunc(m.all, func(s standing) bool { return s.addr == addr })
+	if i >= 0 {
+		return &m.all[i]
+	}
+	if len(m.all) >= mostKept {
+		m.all = slices.Delete(m.all, 0, 1)
+	}
+	m.all = append(m.all, standing{addr: addr})
+	return &m.all[len(m.all)-1]
+}
+
+// Good notes that an address works.
+func (m *Memory) Good(addr string, now Micros) {
+	s := m.of(addr)
+	s.bad, s.until, s.good = 0, 0, now
+}
+
+// Bad notes that an address did not come up, did not answer, or fell silent: it goes
+// last for a while, which doubles each time.
+func (m *Memory) Bad(addr string, now Micros) {
+	s := m.of(addr)
+	s.until = now + min(firstRest<<min(s.bad, 10), mostRest)
+	s.bad++
+}
+
+// Resting tells whether an address goes last now.
+func (m *Memory) Resting(addr string, now Micros) bool {
+	i := slices.IndexFunc(m.all, func(s standing) bool { return s.addr == addr })
+	return i >= 0 && now < m.all[i].until
+}
+
+// Order sorts addresses as they are to be tried: families in turn, the preferred one
+// first and one address of each at a time (RFC 8305, section 4); before all the one
+// that worked last, after all those that rest, the one whose rest ends first ahead.
+func (m *Memory) Order(addrs []string, now Micros) []string {
+	by := make(map[Family][]string)
+	var resting []string
+	last, lastGood := "", Micros(0)
+	for _, a := range addrs {
+		if m.Resting(a, now) {
+			resting = append(resting, a)
+			continue
+		}
+		if s := m.find(a); s != nil && s.good > lastGood {
+			last, lastGood = a, s.good
+		}
+		by[FamilyOf(a)] = append(by[FamilyOf(a)], a)
+	}
+	out := make([]string, 0, len(addrs))
+	if last != "" {
+		out = append(out, last)
+	}
+	for left := true; left; {
+		left = false
+		for f := Local; f <= Named; f++ {
+			if len(by[f]) > 0 {
+				if by[f][0] != last {
+					out = append(out, by[f][0])
+				}
+				by[f], left = by[f][1:], true
+			}
+		}
+	}
+	slices.SortStableFunc(resting, func(a, b string) int { return int(max(min(m.find(a).until-m.find(b).until, 1), -1)) })
+	return append(out, resting...)
+}
+
+func (m *Memory) find(addr string) *standing {
+	if i := slices.IndexFunc(m.all, func(s standing) bool { return s.addr == addr }); i >= 0 {
+		return &m.all[i]
+	}
+	return nil
+}
+
+// Race is one try to reach a server by its addresses.
+type Race struct {
+	stagger Micros
+	left    []string
+	out     map[string]bool // begun, and not over
+	dueAt   Micros          // when the next is begun at the latest; 0: none is left
+	Winner  string          // the first that was ready
+	Over    bool            // there is a winner, or none is left
+}
+
+// New returns a race over addresses in that order. RFC 8305 proposes a stagger of 250
+// ms, and 10 ms at least.
+func New(order []string, stagger Micros) *Race {
+	return &Race{left: slices.Clone(order), stagger: max(stagger, 10_000), out: make(map[string]bool)}
+}
+
+// Step is what is to be begun at a time: at the start, and when Due is reached.
+func (r *Race) Step(now Micros) (begin string, ok bool) {
+	if r.Over || len(r.left) == 0 || r.dueAt > now {
+		return "", false
+	}
+	begin, r.left = r.left[0], r.left[1:]
+	r.out[begin] = true
+	if r.dueAt = 0; len(r.left) > 0 {
+		r.dueAt = now + r.stagger
+	}
+	return begin, true
+}
+
+// Due is when Step is to be called next though nothing comes in; 0: never.
+func (r *Race) Due() Micros {
+	if r.Over || len(r.left) == 0 {
+		return 0
+	}
+	return r.dueAt
+}
+
+// Failed ends a try that brought nothing; the next may begin at once.
+func (r *Race) Failed(addr string) {
+	if !r.out[addr] {
+		return
+	}
+	delete(r.out, addr)
+	r.dueAt = 0
+	if len(r.left) == 0 && len(r.out) == 0 {
+		r.Over = true
+	}
+}
+
+// Ready ends a try that came up, and tells whether it is the winner. One that is not
+// is to be closed: nothing was ever sent on it.
+func (r *Race) Ready(addr string) (wins bool) {
+	if !r.out[addr] {
+		return false
+	}
+	delete(r.out, addr)
+	if r.Over {
+		return false
+	}
+	r.Over, r.Winner = true, addr
+	return true
+}
+
+// Out counts the tries that are begun and not over.
+func (r *Race) Out() int { return len(r.out) }
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -18,7 +18,10 @@
 //	            withheld: a part must not go where its segment may not be held.
 //	drain       any source's word. It is lifted by newer news of the same source, or
 //	            by that source's end. When it was first told by any is kept, whatever
-//	            the merge says.
+//	            the merge says. A source that drops what it had drained does not lift
+//	            that: the others may only not have heard of it. What does is a source
+//	            that names the server anew, a later start, or the time after which the
+//	            source would have been forgotten.
 //	soundness   critical by any source that is heard: withheld, unless a higher-ranked
 //	            source that is heard says passing.
 //	start       the latest that any heard source tells.
@@ -143,8 +146,9 @@
 type source struct {
 	Source
 	index   int64
-	heardAt Micros // the last answer; 0: never
-	count   int    // servers that it names
+	heardAt Micros  // the last answer; 0: never
+	count   int     // servers that it names
+	was     [2]bool // heard, forgotten: at the last step
 	Calls   int64
 	Failed  int64
 	Old     int64 // answers that were older than what is held
@@ -156,6 +160,7 @@
 	at      Micros // since when it says so without a break
 	drainAt Micros // since when it says drain; 0: it does not
 	dropped bool   // it named it once, and does no more
+	goneAt  Micros // since when
 }
 
 type server struct {
@@ -170,6 +175,9 @@
 	waiting  bool   // for its penalty to fade
 	heldAt   Micros // it would have gone since then, and the floor keeps it; 0: not
 	dirty    bool
+	dueAt    Micros   // when time alone changes something for it; 0: never
+	addrs    []string // under which byAddr has it
+	aliases  []string // under which alias has it
 }
 
 // Members is the merge. It is not safe for concurrent use.
@@ -182,31 +190,58 @@
 	byAddr  map[string]string
 	order   []string // names, sorted
 	dirty   []*server
-	dueAt   Micros // when time alone changes something next; 0: never
+	timed   map[*server]bool // have a dueAt
+	listed  int              // ready or draining
+	held    int              // kept by the floor
+	dueAt   Micros           // when time alone changes something next; 0: never
 
-	Floored  bool  // the floor holds now
-	Damped   int64 // returns that waited
-	Refused  int64 // servers beyond the bound
-	floorEnd Micros
+	Floored bool  // the floor holds now
+	Damped  int64 // returns that waited
+	Refused int64 // servers beyond the bound
 }
 
 // New returns a merge that knows nothing.
 func New(set Settings) (*Members, error) {
-	m := &Members{set: set, byName: make(map[string]int), servers: make(map[string]*server), alias: make(map[string]string), byAddr: make(map[string]string)}
+	m := &Members{set: set, byName: make(map[string]int), servers: make(map[string]*server), alias: make(map[string]string), byAddr: make(map[string]string), timed: make(map[*server]bool)}
+	return m, m.Configure(set)
+}
+
+// Configure takes other settings. What a source of the same name said stands, under
+// its new rank; what others said is forgotten. After an error nothing has changed.
+func (m *Members) Configure(set Settings) error {
 	if len(set.Sources) == 0 {
-		return nil, fmt.Errorf("no source")
+		return fmt.Errorf("no source")
 	}
+	byName := make(map[string]int)
+	var sources []*source
 	for _, s := range set.Sources {
-		m.sources = append(m.sources, &source{Source: s})
+		n := &source{Source: s}
+		if i, known := m.byName[s.Name]; known {
+			kept := *m.sources[i]
+			kept.Source = s
+			n = &kept
+		}
+		sources = append(sources, n)
 	}
-	slices.SortStableFunc(m.sources, func(a, b *source) int { return cmp.Compare(a.Rank, b.Rank) })
-	for i, s := range m.sources {
-		if _, twice := m.byName[s.Name]; twice || s.Name == "" {
-			return nil, fmt.Errorf("source %q: named twice, or without a name", s.Name)
+	slices.SortStableFunc(sources, func(a, b *source) int { return cmp.Compare(a.Rank, b.Rank) })
+	for i, s := range sources {
+		if _, twice := byName[s.Name]; twice || s.Name == "" {
+			return fmt.Errorf("source %q: named twice, or without a name", s.Name)
 		}
-		m.byName[s.Name] = i
+		byName[s.Name] = i
 	}
-	return m, nil
+	for _, v := range m.servers {
+		now := make([]*said, len(sources))
+		for i, s := range m.sources {
+			if to, stays := byName[s.Name]; stays {
+				now[to] = v.said[i]
+			}
+		}
+		v.said = now
+		m.touch(v)
+	}
+	m.set, m.sources, m.byName = set, sources, byName
+	return nil
 }
 
 // Observe takes an answer of a source. Step then says what changes.
@@ -225,11 +260,7 @@
 		s.Old++
 		return nil
 	}
-	wasHeard := m.heard(now, s)
 	s.index, s.heardAt = o.Index, now
-	if !wasHeard { // what it said counts again, or for the first time
-		m.touchAll(n)
-	}
 	named := make(map[string]bool, len(o.Claims))
 	for _, c := range o.Claims {
 		if v := m.find(c, n); v != nil {
@@ -240,13 +271,13 @@
 	if o.Whole {
 		for _, v := range m.servers {
 			if w := v.said[n]; w != nil && !w.dropped && !named[v.name] {
-				m.drop(v, n)
+				m.drop(now, v, n)
 			}
 		}
 	}
 	for _, name := range o.Gone {
 		if v := m.servers[m.canonical(name)]; v != nil && v.said[n] != nil && !v.said[n].dropped && !named[v.name] {
-			m.drop(v, n)
+			m.drop(now, v, n)
 		}
 	}
 	return nil
@@ -266,7 +297,7 @@
 	if v == nil {
 		for _, a := range c.Aliases {
 			if v = m.servers[m.canonical(a)]; v != nil {
-				m.alias[c.Name] = v.name
+				m.also(v, c.Name)
 				break
 			}
 		}
@@ -275,7 +306,7 @@
 		for _, a := range c.Addresses {
 			if other, ok := m.byAddr[a]; ok && m.servers[other] != nil {
 				v = m.servers[other]
-				m.alias[c.Name] = v.name
+				m.also(v, c.Name)
 				break
 			}
 		}
@@ -293,19 +324,39 @@
 	m.order = slices.Insert(m.order, at, c.Name)
 	for _, a := range c.Aliases {
 		if m.servers[a] == nil {
-			m.alias[a] = c.Name
+			m.also(v, a)
 		}
 	}
 	return v
 }
 
+// mostAliases bounds the names under which one server is known.
+const mostAliases = 16
+
+// also has a server known under another name too.
+func (m *Members) also(v *server, name string) {
+	if m.alias[name] != "" || len(v.aliases) >= mostAliases {
+		return
+	}
+	m.alias[name] = v.name
+	v.aliases = append(v.aliases, name)
+}
+
 func (m *Members) claim(now Micros, v *server, n int, c Claim) {
 	w := v.said[n]
-	if w == nil {
+	switch {
+	case w == nil:
 		w = &said{at: now}
 		v.said[n] = w
-	} else if w.dropped {
-		w.at, w.dropped = now, false
+		m.sources[n].count++
+	case w.dropped:
+		w.at, w.dropped, w.drainAt = now, false, 0
+		m.sources[n].count++
+	case same(&w.Claim, &c): // nothing new: a whole answer says most things again
+		if !v.proven {
+			m.touch(v)
+		}
+		return
 	}
 	switch {
 	case !c.Drain:
@@ -316,7 +367,10 @@
 	w.Claim = c
 	if m.set.ByAddress {
 		for _, a := range c.Addresses {
-			m.byAddr[a] = v.name
+			if m.byAddr[a] != v.name {
+				m.byAddr[a] = v.name
+				v.addrs = append(v.addrs, a)
+			}
 		}
 	}
 	if v.firstAt == 0 {
@@ -325,9 +379,16 @@
 	m.touch(v)
 }
 
-func (m *Members) drop(v *server, n int) {
+// same tells whether two claims say the same.
+func same(a, b *Claim) bool {
+	return a.Site == b.Site && a.Kind == b.Kind && a.Cell == b.Cell && a.HasCell == b.HasCell && a.Drain == b.Drain && a.Health == b.Health &&
+		a.Weight == b.Weight && a.Since == b.Since && a.Name == b.Name && slices.Equal(a.Addresses, b.Addresses) && slices.Equal(a.Aliases, b.Aliases)
+}
+
+func (m *Members) drop(now Micros, v *server, n int) {
 	w := v.said[n]
-	w.dropped, w.drainAt = true, 0
+	w.dropped, w.goneAt = true, now
+	m.sources[n].count--
 	m.touch(v)
 }
 
@@ -338,9 +399,27 @@
 	}
 }
 
-func (m *Members) touchAll(n int) {
-	for _, v := range m.servers {
-		if v.said[n] != nil {
+// turned has the servers of sources that have begun or ceased to be heard looked at
+// anew, and those for which time has changed something.
+func (m *Members) turned(now Micros) {
+	var turned []int
+	for i, s := range m.sources {
+		if is := [2]bool{m.heard(now, s), m.forgotten(now, s)}; is != s.was {
+			s.was = is
+			turned = append(turned, i)
+		}
+	}
+	if len(turned) > 0 {
+		for _, v := range m.servers {
+			for _, i := range turned {
+				if v.said[i] != nil {
+					m.touch(v)
+				}
+			}
+		}
+	}
+	for v := range m.timed {
+		if now >= v.dueAt {
 			m.touch(v)
 		}
 	}
@@ -360,11 +439,7 @@
 // Step merges what has come since the last one, and what time alone has changed. It
 // returns the members that changed, by name; a caller that never saw one has it Gone.
 func (m *Members) Step(now Micros) []Member {
-	if m.dueAt > 0 && now >= m.dueAt { // somebody has fallen silent, or a wait is over
-		for _, v := range m.servers {
-			m.touch(v)
-		}
-	}
+	m.turned(now)
 	dirty := m.dirty
 	m.dirty = nil
 	slices.SortFunc(dirty, func(a, b *server) int { return cmp.Compare(a.name, b.name) })
@@ -380,6 +455,11 @@
 		m.flap(now, v, &to)
 		was := v.member
 		v.member = to
+		if is, had := to.State <= Draining, was.State <= Draining; is && !had {
+			m.listed++
+		} else if had && !is {
+			m.listed--
+		}
 		if !was.equal(&to) {
 			out = append(out, to)
 		}
@@ -419,6 +499,9 @@
 			}
 		}
 		if w.dropped {
+			if w.drainAt > 0 && !m.lifted(now, v, i) && (to.DrainTold == 0 || w.drainAt < to.DrainTold) {
+				to.DrainTold = w.drainAt
+			}
 			continue
 		}
 		if w.drainAt > 0 && (to.DrainTold == 0 || w.drainAt < to.DrainTold) {
@@ -484,6 +567,21 @@
 	return to
 }
 
+// lifted tells whether the drain of a server that its source has dropped since holds
+// no more.
+func (m *Members) lifted(now Micros, v *server, by int) bool {
+	w, s := v.said[by], m.sources[by]
+	if now-w.goneAt >= s.Silent+s.Forget {
+		return true
+	}
+	for i, o := range v.said {
+		if i != by && o != nil && !o.dropped && (o.at > w.goneAt || o.Since > w.drainAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // addressedBy tells whether a higher-ranked source that is heard gives addresses.
 func (m *Members) addressedBy(now Micros, v *server, below int) bool {
 	for i := range below {
@@ -527,15 +625,7 @@
 	if m.set.FloorShare <= 0 || m.set.FloorShare >= 1 {
 		return
 	}
-	listed, going := 0, 0
-	for _, v := range m.servers {
-		if v.member.State == Ready || v.member.State == Draining {
-			listed++
-			if v.heldAt > 0 {
-				going++
-			}
-		}
-	}
+	listed, going := m.listed, m.held
 	leaves := func(i int) bool {
 		was := dirty[i].member.State
 		return (was == Ready || was == Draining) && next[i].State > Draining && next[i].DrainTold == 0
@@ -545,7 +635,7 @@
 		case leaves(i) && v.heldAt == 0:
 			going++
 		case !leaves(i) && v.heldAt > 0: // it is named again
-			v.heldAt = 0
+			m.hold(v, 0)
 			going--
 		}
 	}
@@ -558,10 +648,10 @@
 			continue
 		}
 		if v.heldAt == 0 {
-			v.heldAt = max(now, 1)
+			m.hold(v, max(now, 1))
 		}
 		if now-v.heldAt >= m.set.Believe || !m.Floored {
-			v.heldAt = 0
+			m.hold(v, 0)
 			continue
 		}
 		reason := next[i].Reason
@@ -570,6 +660,17 @@
 	}
 }
 
+// hold notes since when the floor keeps a server; 0: it does not.
+func (m *Members) hold(v *server, at Micros) {
+	switch {
+	case v.heldAt == 0 && at > 0:
+		m.held++
+	case v.heldAt > 0 && at == 0:
+		m.held--
+	}
+	v.heldAt = at
+}
+
 // faded is a penalty that is as good as none: a server that is gone is remembered
 // for it no longer.
 const faded = 0.1
@@ -607,6 +708,7 @@
 func (m *Members) forget(now Micros, dirty []*server) {
 	for _, v := range dirty {
 		if v.member.State != Gone || v.heldAt > 0 {
+			m.time(now, v)
 			continue
 		}
 		keep := v.penalty > faded && m.set.FlapHalf > 0
@@ -615,25 +717,65 @@
 			keep = keep || w != nil && !w.dropped && !m.forgotten(now, s)
 		}
 		if keep {
+			m.time(now, v)
 			continue
 		}
+		for i, w := range v.said {
+			if w != nil && !w.dropped {
+				m.sources[i].count--
+			}
+		}
+		delete(m.timed, v)
 		delete(m.servers, v.name)
 		if at, ok := slices.BinarySearch(m.order, v.name); ok {
 			m.order = slices.Delete(m.order, at, at+1)
 		}
-		for other, to := range m.alias {
-			if to == v.name {
-				delete(m.alias, other)
+		for _, a := range v.aliases {
+			if m.alias[a] == v.name {
+				delete(m.alias, a)
 			}
 		}
-		for addr, to := range m.byAddr {
-			if to == v.name {
-				delete(m.byAddr, addr)
+		for _, a := range v.addrs {
+			if m.byAddr[a] == v.name {
+				delete(m.byAddr, a)
 			}
 		}
 	}
 }
 
+// time notes when time alone changes something for a server.
+func (m *Members) time(now Micros, v *server) {
+	at := Micros(math.MaxInt64)
+	soon := func(t Micros) {
+		if t > now && t < at {
+			at = t
+		}
+	}
+	if v.heldAt > 0 {
+		soon(v.heldAt + m.set.Believe)
+	}
+	// The penalty halves in FlapHalf: it is at a value after so long.
+	fades := func(to float64) { soon(now + Micros(float64(m.set.FlapHalf)*math.Log2(v.penalty/to)) + 1) }
+	if v.waiting {
+		fades(m.set.FlapAgain)
+	}
+	if v.penalty > faded && v.member.State == Gone {
+		fades(faded)
+	}
+	for i, w := range v.said {
+		if w != nil && w.dropped && w.drainAt > 0 {
+			soon(w.goneAt + m.sources[i].Silent + m.sources[i].Forget)
+		}
+	}
+	if at == math.MaxInt64 {
+		v.dueAt = 0
+		delete(m.timed, v)
+		return
+	}
+	v.dueAt = at
+	m.timed[v] = true
+}
+
 // due is when time alone changes something next.
 func (m *Members) due(now Micros) Micros {
 	at := Micros(math.MaxInt64)
@@ -650,17 +792,8 @@
 			}
 		}
 	}
-	for _, v := range m.servers {
-		if v.heldAt > 0 {
-			soon(v.heldAt + m.set.Believe)
-		}
-		if v.waiting {
-			// The penalty halves in FlapHalf: it is at FlapAgain after so long.
-			soon(now + Micros(float64(m.set.FlapHalf)*math.Log2(v.penalty/m.set.FlapAgain)) + 1)
-		}
-		if v.penalty > faded && v.member.State == Gone {
-			soon(now + Micros(float64(m.set.FlapHalf)*math.Log2(v.penalty/faded)) + 1)
-		}
+	for v := range m.timed {
+		soon(v.dueAt)
 	}
 	if at == math.MaxInt64 {
 		return 0
@@ -729,16 +862,12 @@
 // Sources are the sources' standings, by rank.
 func (m *Members) Sources(now Micros) []Told {
 	var out []Told
-	for i, s := range m.sources {
+	for _, s := range m.sources {
 		t := Told{Name: s.Name, Heard: m.heard(now, s), Age: -1, Index: s.index, Calls: s.Calls, Failed: s.Failed, Old: s.Old}
 		if s.heardAt > 0 {
 			t.Age = now - s.heardAt
 		}
-		for _, v := range m.servers {
-			if w := v.said[i]; w != nil && !w.dropped {
-				t.Servers++
-			}
-		}
+		t.Servers = s.count
 		out = append(out, t)
 	}
 	return out
--- a/internal/back/discovery.go
+++ b/internal/source/targets/targets.go
@@ -1,8 +1,8 @@
-package back
-
-// The list of leaf servers. This file owns the watch on discovery and the
-// reading of its answers. It must never let the watch lapse while it is wanted,
-// press a service that fails, or hand on an entry that the router can't hold.
+// Package targets is the platform's list of leaf servers. It owns the watch on
+// discovery and the reading of its answers. It must never let the watch lapse while
+// it is wanted, press a service that fails, or hand on an entry that the router
+// can't hold.
+package targets
 
 import (
 	"context"
@@ -10,12 +10,16 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"saddleport/choice"
 	"saddleport/internal/httpwire"
+	"saddleport/internal/logs"
 	"saddleport/internal/settings"
 )
 
@@ -28,10 +32,27 @@
 	maxSince    = 1 << 50 // milliseconds; in microseconds it must still fit
 )
 
-// watcher makes the calls, one after another. Its fields but kick are under
-// Back.mu; Run's loop alone makes calls.
-type watcher struct {
+var log = logs.For("targets")
+
+// Addrs are the addresses of servers by name.
+type Addrs map[string][]string
+
+// Taker gets what discovery says, in order. It must not call the watch.
+type Taker interface {
+	// Told brings a list, or changes to it.
+	Told(list choice.List, addrs Addrs)
+	// Failed says that a call brought nothing.
+	Failed()
+}
+
+// Watch makes the calls, one after another: Run's loop alone does.
+type Watch struct {
+	cells int
+	more  bool // an entry may have several addresses
+	to    Taker
 	kick  chan struct{}
+
+	mu    sync.Mutex
 	on    bool
 	whole bool // the next call asks for the whole list
 	addr  string
@@ -42,34 +63,43 @@
 	end     context.CancelFunc
 }
 
+// New returns a watch that is not on, for a fleet of so many cells; index is the
+// version of the list that is known already. With more, entries may have a list
+// "addresses" beside the one address.
+func New(addr string, cells int, index int64, more bool, to Taker) *Watch {
+	w := &Watch{cells: cells, more: more, to: to, kick: make(chan struct{}, 1), addr: addr, index: index}
+	w.current, w.end = context.WithCancel(context.Background())
+	return w
+}
+
 // Watch starts or ends the watch. One that stands is not started anew.
-func (b *Back) Watch(on bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.watch.on = on
-	b.watch.stir()
+func (w *Watch) Watch(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.on = on
+	w.stir()
 }
 
 // Fetch asks for the whole list once.
-func (b *Back) Fetch() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.watch.anew()
+func (w *Watch) Fetch() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.anew()
 }
 
 // Switch turns to another discovery service. Its versions need not compare with
 // those of the one before, so it is asked for the whole list, and at once.
-func (b *Back) Switch(addr string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.watch.addr = addr
-	b.watch.anew()
+func (w *Watch) Switch(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addr = addr
+	w.anew()
 }
 
 // anew ends the call at hand, or the pause before the next, for the whole list.
 // Asked on a line of its own, that list could overtake or be overtaken by the
 // changes that the watch brings, and one of them would be lost.
-func (w *watcher) anew() {
+func (w *Watch) anew() {
 	w.whole = true
 	if w.end != nil {
 		w.end()
@@ -78,15 +108,20 @@
 	w.stir()
 }
 
-func (w *watcher) stir() {
+func (w *Watch) stir() {
 	select {
 	case w.kick <- struct{}{}:
 	default:
 	}
 }
 
-func (b *Back) runWatch(stop <-chan struct{}) {
-	w := &b.watch
+// Run makes the calls until stop is closed.
+func (w *Watch) Run(stop <-chan struct{}) {
+	defer context.AfterFunc(closing(stop), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.end()
+	})()
 	var line discoveryLine
 	defer line.close()
 	wait, backoff := firstWait, backoffFrom
@@ -96,13 +131,13 @@
 			return
 		default:
 		}
-		b.mu.Lock()
+		w.mu.Lock()
 		ctx, addr, idle := w.current, w.addr, !w.on && !w.whole
 		path, within := fmt.Sprintf("/api/targets?index=%d&wait=%d", w.index, wait.Milliseconds()), wait+answerTime
 		if w.whole {
 			path, within = "/api/targets", answerTime
 		}
-		b.mu.Unlock()
+		w.mu.Unlock()
 		if idle {
 			wait = firstWait
 			select {
@@ -113,7 +148,7 @@
 			continue
 		}
 		body, err := line.get(ctx, addr, path, within)
-		ok := b.told(ctx, addr, body, err)
+		ok := w.told(ctx, addr, body, err)
 		if ctx.Err() != nil { // the call was for what is not wanted any more
 			line.close()
 			wait, backoff = firstWait, backoffFrom
@@ -140,87 +175,35 @@
 
 // told hands on an answer of discovery, or that there was none. What answers a
 // call that has been ended since is dropped: it may be of another service.
-func (b *Back) told(ctx context.Context, addr string, body []byte, err error) bool {
+func (w *Watch) told(ctx context.Context, addr string, body []byte, err error) bool {
 	var list choice.List
-	var addrs map[string]string
+	var addrs Addrs
 	if err == nil {
-		list, addrs, err = ParseList(body, b.Settings.Router.Cells)
+		list, addrs, err = Parse(body, w.cells, w.more)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if ctx.Err() != nil {
 		return false
 	}
-	if err == nil && b.watch.whole && list.Form != choice.Full {
+	if err == nil && w.whole && list.Form != choice.Full {
 		err = errors.New("the whole list was asked for, and changes came")
 	}
 	if err != nil {
-		b.Exchange.Counters.ListFails.Add(1)
 		log.Warn("discovery-failed", "addr", addr, "err", err)
-		b.Exchange.Listed(choice.List{Form: choice.Failed})
+		w.to.Failed()
 		return false
 	}
-	b.Exchange.Counters.Lists.Add(1)
-	b.watch.whole = false
-	b.apply(list, addrs)
+	w.whole, w.index = false, list.Version
+	w.to.Told(list, addrs)
 	return true
 }
 
-// Apply takes a list for the connections and hands it to the exchange.
-func (b *Back) Apply(list choice.List, addrs map[string]string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.apply(list, addrs)
-}
-
-func (b *Back) apply(list choice.List, addrs map[string]string) {
-	b.watch.index = list.Version
-	named := make(map[string]bool, len(list.Servers))
-	for _, row := range list.Servers {
-		named[row.ID] = true
-		s := b.servers[row.ID]
-		if s == nil {
-			s = &server{name: row.ID}
-			b.servers[row.ID] = s
-		}
-		if addr := addrs[row.ID]; addr != "" {
-			s.addr = addr
-		}
-		b.mayStart(s, row.State == choice.Ready)
-	}
-	if list.Form != choice.Delta {
-		for name, s := range b.servers {
-			if !named[name] {
-				b.mayStart(s, false)
-			}
-		}
-	}
-	for name, s := range b.servers { // gone for long, with nothing left
-		if s.drained() && !named[name] && len(s.conns) == 0 && len(s.waiting) == 0 && !s.dialing {
-			delete(b.servers, name)
-		}
-	}
-	if len(list.Servers) > 0 || list.Form != choice.Delta {
-		log.Info("list", "form", int(list.Form), "version", list.Version, "entries", len(list.Servers))
-	}
-	b.Exchange.Listed(list)
-}
-
-// mayStart notes from when on nothing may start on a server.
-func (b *Back) mayStart(s *server, ready bool) {
-	if ready {
-		s.stopAt = time.Time{}
-	} else if s.stopAt.IsZero() {
-		grace := time.Duration(b.Settings.Router.DrainGrace) * time.Microsecond
-		s.stopAt = time.Now().Add(max(grace-drainMargin, 0))
-	}
-}
-
 var states = map[string]choice.State{"SERVING": choice.Ready, "DRAINING": choice.Draining, "DELETED": choice.Gone}
 
-// ParseList reads discovery's form of the list. An entry that can't be used is
+// Parse reads discovery's form of the list. An entry that can't be used is
 // passed over with a log line: one bad line must not cost the others.
-func ParseList(body []byte, cells int) (list choice.List, addrs map[string]string, err error) {
+func Parse(body []byte, cells int, more bool) (list choice.List, addrs Addrs, err error) {
 	doc := gjson.ParseBytes(body)
 	if !gjson.ValidBytes(body) || !doc.IsObject() {
 		return list, nil, &settings.FieldError{Path: "endpoints", Problem: "not a JSON object"}
@@ -236,7 +219,7 @@
 	if doc.Get("snapshot").Bool() {
 		list.Form = choice.Full
 	}
-	addrs = make(map[string]string)
+	addrs = make(Addrs)
 	for _, e := range endpoints.Array() {
 		s := choice.Server{ID: e.Get("name").String(), Zone: e.Get("zone").String(), Kind: e.Get("type").String(),
 			Cell: int(e.Get("group").Int()), Scale: 1, UpSince: min(max(e.Get("since_ms").Int(), 0), maxSince) * 1000}
@@ -251,11 +234,48 @@
 			continue
 		}
 		list.Servers = append(list.Servers, s)
-		addrs[s.ID] = e.Get("address").String()
+		addrs[s.ID] = []string{e.Get("address").String()}
+		if more {
+			addrs[s.ID] = addresses(e, addrs[s.ID])
+		}
 	}
 	return list, addrs, nil
 }
 
+// mostAddrs bounds the addresses of one server.
+const mostAddrs = 8
+
+// addresses adds what an entry lists beside its one address.
+func addresses(e gjson.Result, out []string) []string {
+	for _, a := range e.Get("addresses").Array() {
+		addr := a.String()
+		_, _, bad := net.SplitHostPort(addr)
+		if (bad == nil || strings.HasPrefix(addr, "unix:/")) && !slices.Contains(out, addr) && len(out) < mostAddrs {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// closing is a context that ends when stop is closed; it holds no goroutine.
+func closing(stop <-chan struct{}) context.Context { return stopped{context.Background(), stop} }
+
+type stopped struct {
+	context.Context
+	stop <-chan struct{}
+}
+
+func (s stopped) Done() <-chan struct{} { return s.stop }
+
+func (s stopped) Err() error {
+	select {
+	case <-s.stop:
+		return context.Canceled
+	default:
+		return nil
+	}
+}
+
 // discoveryLine is a connection to discovery, kept from call to call.
 type discoveryLine struct {
 	addr string
