Read leaf servers from Consul and DNS SRV beside the list, merged by a stated rule

Other installations keep trip nodes in Consul or DNS. The merge (core/membership) is in service now: source/members runs it, source/consul (blocking queries, index, stale answers, datacentres, token, TLS, own registration) and source/dnssrv (own resolver on miekg/dns, core/resolve decides what is believed) feed it. members command and endpoint, counters by source, sources switched by SIGHUP. Off without [members] sources.

--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
@@ -47,6 +48,14 @@
 			}},
 			hooks(config, operator, asJSON),
 			segments(operator, asJSON),
+			{Name: "members", Usage: "what a running mixer believes of its leaf servers, and why", ArgsUsage: "[SERVER]",
+				Flags: []cli.Flag{operator, asJSON, &cli.BoolFlag{Name: "watch", Usage: "go on, and print each change"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					if c.Args().Len() > 1 {
+						return errors.New("give one server at most")
+					}
+					return app.Members(os.Stdout, c.String("operator"), c.Args().First(), c.Bool("json"), c.Bool("watch"), ctx.Done())
+				}},
 			{Name: "counters", Usage: "print what the mixer that runs on this configuration has counted", Flags: []cli.Flag{config},
 				Action: func(_ context.Context, c *cli.Command) error {
 					cfg, err := app.Load(c.String("config"), os.Getenv)
--- a/internal/app/admin.go
+++ b/internal/app/admin.go
@@ -9,10 +9,13 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
 	"saddleport/choice"
 	"saddleport/internal/httpwire"
+	"saddleport/internal/source/consul"
 )
 
 // Counters asks the mixer that runs on a configuration what it has counted.
@@ -92,6 +95,11 @@
 		}
 		hooks = len(set.Hooks)
 	}
-	_, err = fmt.Fprintf(w, "operator=%s hooks=%d\n", operator, hooks)
+	if slices.Contains(o.Members.Sources, "consul") || o.Consul.Register != "" {
+		if _, err := consul.New(o.Consul, nil); err != nil { // the files that it names
+			return err
+		}
+	}
+	_, err = fmt.Fprintf(w, "operator=%s hooks=%d sources=%s\n", operator, hooks, strings.Join(o.ranked(), ","))
 	return err
 }
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -9,7 +9,6 @@
 	"math"
 	"net"
 	"net/url"
-	"path/filepath"
 	"runtime"
 	"strings"
 
@@ -20,6 +19,9 @@
 	"saddleport/internal/hook/wasm"
 	"saddleport/internal/logs"
 	"saddleport/internal/operator"
+	"saddleport/internal/source/consul"
+	"saddleport/internal/source/dnssrv"
+	"saddleport/internal/source/members"
 	"saddleport/internal/source/segments"
 )
 
@@ -30,6 +32,9 @@
 	Hooks    hook.Settings
 	Control  control.Settings
 	Segments segments.Settings
+	Members  members.Settings
+	Consul   consul.Settings
+	DNS      dnssrv.Settings
 }
 
 func (o *Operator) sections() []operator.Section {
@@ -38,6 +43,9 @@
 		{Name: "control", Help: "where operators speak to the mixer", Into: &o.Control},
 		{Name: "hooks", Help: "hooks of one's own", Into: &o.Hooks, Check: o.Hooks.Check},
 		{Name: "segments", Help: "segments that split, merge and move", Into: &o.Segments, Check: o.checkSegments},
+		{Name: "members", Help: "where leaf servers come from", Into: &o.Members, Check: o.checkMembers},
+		{Name: "consul", Help: "Consul's catalogue and health as a source", Into: &o.Consul, Check: func() error { return keyed(o.Consul.Check()) }},
+		{Name: "dns", Help: "DNS SRV records as a source", Into: &o.DNS, Check: func() error { return keyed(o.DNS.Check()) }},
 	}
 }
 
@@ -59,11 +67,7 @@
 		return nil, err
 	}
 	o.File = f
-	for _, p := range []*string{&o.Hooks.Dir, &o.Control.Socket} {
-		if *p != "" && !filepath.IsAbs(*p) {
-			*p = filepath.Join(filepath.Dir(path), *p)
-		}
-	}
+	rooted(path, &o.Hooks.Dir, &o.Control.Socket, &o.Consul.Token, &o.Consul.CA)
 	return o, nil
 }
 
@@ -127,6 +131,8 @@
 			return nil, err
 		}
 		return m.feed.Explain(key)
+	case len(words) >= 2 && len(words) <= 3 && words[0] == "members" && words[1] == "show":
+		return m.membersCommand(words)
 	case line == "counters":
 		return m.x.Counters.String(), nil
 	}
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -26,6 +26,7 @@
 	"saddleport/internal/front"
 	"saddleport/internal/hook"
 	"saddleport/internal/logs"
+	"saddleport/internal/source/consul"
 	"saddleport/internal/source/segments"
 	"saddleport/internal/source/targets"
 )
@@ -68,10 +69,14 @@
 type mixer struct {
 	cfg  *Config
 	x    *exchange.Exchange
-	list *targets.Watch
+	list *targets.Watch // nil: sources of [members] are on
 	host *hook.Host     // nil without an operator file
 	feed *segments.Feed // nil: shards are what the settings say
 
+	members *memberships // nil: the platform's list alone
+
+	leave func() // takes the mixer out of Consul; nil: it is not there
+
 	mu sync.Mutex // commands come beside signals
 	op *Operator
 }
@@ -100,7 +105,16 @@
 		log.Error("reload-failed", "discovery", c.discovery, "err", err)
 		return
 	}
+	if m.members != nil && len(op.Members.Sources) > 0 {
+		if err := m.members.apply(op); err != nil { // a file that it names has gone
+			log.Error("reload-failed", "discovery", c.discovery, "err", err)
+			return
+		}
+	}
 	var kept []string
+	if (m.members != nil) != (len(op.Members.Sources) > 0) {
+		kept = append(kept, "members")
+	}
 	for field, same := range map[string]bool{"name": now.name == c.name, "listen": now.listen == c.listen,
 		"limits":   now.cores == c.cores && now.memoryMB == c.memoryMB && now.sockets == c.sockets,
 		"settings": reflect.DeepEqual(now.settings, c.settings)} {
@@ -112,7 +126,11 @@
 	log.Info("reload", "discovery", now.discovery, "was", c.discovery, "kept", strings.Join(kept, ","))
 	if now.discovery != c.discovery {
 		c.discovery = now.discovery
-		m.list.Switch(c.discovery)
+		if m.members != nil {
+			m.members.moved(c.discovery)
+		} else {
+			m.list.Switch(c.discovery)
+		}
 	}
 	m.apply(op)
 	if m.host != nil { // a set takes a while to load; a bad one leaves the old one, and is logged
@@ -146,9 +164,32 @@
 	}
 	leaves := (cfg.sockets - spareFiles) / leafShare
 	b := back.New(back.Config{Exchange: x, Settings: cfg.settings, MaxConns: leaves})
-	w := targets.New(cfg.discovery, cfg.settings.Router.Cells, cfg.known.Version, false, b)
-	b.List = w
-	m := &mixer{cfg: cfg, x: x, list: w}
+	m := &mixer{cfg: cfg, x: x}
+	if len(op.Members.Sources) == 0 {
+		m.list = targets.New(cfg.discovery, cfg.settings.Router.Cells, cfg.known.Version, false, b)
+		b.List = m.list
+	} else {
+		b.Stagger = op.Members.Stagger
+		if m.members, err = newMembers(cfg, op, b); err != nil {
+			return err
+		}
+		b.List = m.members
+		x.Counters.More = m.members.Counters
+		if err := m.members.apply(op); err != nil {
+			return err
+		}
+		defer m.members.end()
+	}
+	if op.Consul.Register != "" && len(op.Consul.Addrs) > 0 {
+		c, err := consul.New(op.Consul, nil)
+		if err != nil {
+			return err
+		}
+		gone, out := make(chan struct{}), make(chan struct{})
+		go func() { c.Keep(cfg.name, ln.Addr().String(), gone); close(out) }()
+		m.leave = sync.OnceFunc(func() { close(gone); <-out })
+		defer m.leave()
+	}
 	if op.File.Path != "" {
 		m.host = hook.NewHost(op.Hooks, Engines(), cfg.settings.Router.Classes)
 		x.SetHooks(m.host, op.Hooks.ForwardTags)
@@ -187,7 +228,13 @@
 		f.Shards, f.Ready = 0, m.feed.Held
 	}
 	stop := make(chan struct{})
-	b.Told(cfg.known, cfg.addrs)
+	if m.members == nil {
+		b.Told(cfg.known, cfg.addrs)
+	} else {
+		ready := f.Ready
+		f.Members = m.members.page
+		f.Ready = func() bool { return m.members.Heard() && (ready == nil || ready()) }
+	}
 	go x.Run(b, stop)
 	go b.Run(stop)
 	served := make(chan error, 1)
@@ -209,6 +256,9 @@
 			}
 			log.Info("stopping", "signal", s, "open", x.Open())
 			stopping = true
+			if m.leave != nil { // beside all else: nobody is to find it there any more
+				go m.leave()
+			}
 		}
 	}
 	// A configuration that comes while the mixer stops counts too: queries are
--- a/internal/back/race.go
+++ b/internal/back/race.go
@@ -114,6 +114,33 @@
 	b.add(r.s, &conn{nc: nc, addr: addr, in: answers})
 }
 
+// Answers tells whether a server answers a probe at any of its addresses. What it
+// opens for that counts as a connection, and is closed.
+func (b *Back) Answers(addrs []string) bool {
+	for _, addr := range addrs {
+		b.mu.Lock()
+		room := b.conns < b.MaxConns*3/4
+		if room {
+			b.conns++
+		}
+		b.mu.Unlock()
+		if !room {
+			return false
+		}
+		nc, _, err := b.greet(addr)
+		if err == nil {
+			nc.Close()
+		}
+		b.mu.Lock()
+		b.conns--
+		b.mu.Unlock()
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // greet opens a connection and waits for the answer to a probe, for the dial time in
 // all: an address that accepts and then hangs does not get a part.
 func (b *Back) greet(addr string) (net.Conn, *bufio.Reader, error) {
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -134,6 +134,7 @@
 	Weight    float64
 	Since     Micros
 	DrainTold Micros // when the first source told; 0: none does
+	New       bool   // withheld for want of a first sign
 }
 
 // equal tells whether two say the same to the decisions.
@@ -560,7 +561,7 @@
 	case critical != "":
 		to.State, to.Reason = Withheld, critical+" says that its checks are critical"
 	case !m.proven(now, v):
-		to.State, to.Reason = Withheld, "new, and without a first sign"
+		to.State, to.Reason, to.New = Withheld, "new, and without a first sign", true
 	case to.DrainTold > 0:
 		to.State, to.Reason = Draining, "told to drain"
 	}
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -43,6 +43,9 @@
 
 	Moved    atomic.Int64 // attempts turned away by servers that do not hold them now
 	Unrouted atomic.Int64 // queries that the map of segments could not route
+
+	// More are the figures of a subsystem that is on; nil: none. It is set before Run.
+	More func(put func(name string, v int64))
 }
 
 var endings = [5]string{"answered", "refused", "failed", "expired", "gone"}
@@ -87,5 +90,8 @@
 	put("hook_drops", &c.HookDrops)
 	put("moved", &c.Moved)
 	put("unrouted", &c.Unrouted)
+	if c.More != nil {
+		c.More(func(name string, v int64) { fmt.Fprintf(&b, "%s=%d ", name, v) })
+	}
 	return strings.TrimSpace(b.String())
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,7 +52,8 @@
 	Shards     int  // 0: not told
 	Segments   bool // shards are segments of a map, and parts may name ranges of keys
 	Classes    map[string]bool
-	Ready      func() bool // beside all else; nil: at once
+	Ready      func() bool   // beside all else; nil: at once
+	Members    func() string // what /-/members answers; nil: there is no such path
 	Pace       Pace
 }
 
@@ -322,6 +323,10 @@
 	}
 	switch q.Path {
 	case "/api", "/-/ready", "/-/healthy", "/-/counters":
+	case "/-/members":
+		if c.f.Members == nil {
+			return c.write(404, "no such path\n", keep)
+		}
 	default:
 		return c.write(404, "no such path\n", keep)
 	}
@@ -334,11 +339,13 @@
 			return c.write(503, "stopping\n", false)
 		}
 		if c.f.Ready != nil && !c.f.Ready() {
-			return c.write(503, "no map of the segments yet\n", keep)
+			return c.write(503, "nothing is known of segments or servers yet\n", keep)
 		}
 		return c.write(200, "ready\n", keep)
 	case "/-/healthy":
 		return c.write(200, "healthy\n", keep)
+	case "/-/members":
+		return c.write(200, c.f.Members()+"\n", keep)
 	case "/-/counters":
 		return c.write(200, c.f.Exchange.Counters.String()+"\n", keep)
 	}
--- /dev/null
+++ b/internal/source/members/members.go
@@ -0,0 +1,429 @@
+// Package members runs the merge of several sources of leaf servers: it has the
+// clock, the timer and the log that core/membership must not have, and turns what
+// the merge says into the list that the client side and the decisions get. It must
+// never hold back a drain, hand on a server whose cell the fleet does not have, or
+// let the decisions see one server's parts go to a cell it is not in: a server that
+// changes its cell gets another name with them.
+package members
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"saddleport/choice"
+	"saddleport/internal/core/membership"
+	"saddleport/internal/logs"
+	"saddleport/internal/source/targets"
+)
+
+// Settings are the operator file's section [members].
+type Settings struct {
+	Sources    []string      `ini:"sources" oneof:"list consul dns" help:"where leaf servers come from, the highest-ranked first; none: the platform's list alone, as ever"`
+	Silent     time.Duration `ini:"silent-after" default:"30s" range:"1s..1h" help:"without an answer for so long a source is silent: it neither adds nor drops, and its word on cells and checks does not count"`
+	Forget     time.Duration `ini:"forget-after" default:"1h" range:"0s..720h" help:"silent for so long, what it said counts as never said; 0s: never"`
+	Trusted    []string      `ini:"trusted" default:"list" oneof:"list consul dns" help:"sources whose new servers need no first sign"`
+	FirstSign  time.Duration `ini:"first-sign" default:"1s" range:"0s..1h" help:"a new server of another source waits for a second source, or for the same one again after so long"`
+	FloorShare float64       `ini:"floor-share" default:"0.5" range:"0..1" help:"where more than this share would go at once, they stay for believe-after; 0: no floor"`
+	FloorLeast int           `ini:"floor-least" default:"3" range:"1..100000" help:"and so many servers at least"`
+	Believe    time.Duration `ini:"believe-after" default:"20s" range:"0s..1h" help:"a mass disappearance is believed once it has been said for so long"`
+	FlapHalf   time.Duration `ini:"flap-half-life" default:"15s" range:"0s..1h" help:"each time a server goes costs it a penalty of 1, which halves in this time; 0s: flaps are not damped"`
+	FlapMost   float64       `ini:"flap-most" default:"2.5" range:"0.1..100" help:"above this penalty a return waits"`
+	FlapAgain  float64       `ini:"flap-again" default:"1" range:"0.1..100" help:"until it is below this"`
+	ByAddress  bool          `ini:"same-address" default:"no" help:"two names at one address are one server"`
+	Most       int           `ini:"most-servers" default:"20000" range:"1..1000000" help:"beyond, new ones are not taken, and counted"`
+	Stagger    time.Duration `ini:"stagger" default:"250ms" range:"10ms..10s" help:"between tries of the addresses of one server (RFC 8305)"`
+}
+
+// Check looks at what keys say of each other.
+func (s *Settings) Check() error {
+	for i, name := range s.Sources {
+		if slices.Contains(s.Sources[:i], name) {
+			return fmt.Errorf("sources: %s stands twice", name)
+		}
+	}
+	if s.FlapAgain > s.FlapMost {
+		return fmt.Errorf("flap-again: %v is above flap-most, %v", s.FlapAgain, s.FlapMost)
+	}
+	return nil
+}
+
+// Merge are the settings of the merge. ranked are the sources as the merge knows
+// them, highest first: a source may be several there, such as a datacentre each.
+func (s *Settings) Merge(ranked []string) membership.Settings {
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	out := membership.Settings{ByAddress: s.ByAddress, FloorShare: s.FloorShare, FloorLeast: s.FloorLeast, Believe: us(s.Believe), FlapHalf: us(s.FlapHalf),
+		FlapMost: s.FlapMost, FlapAgain: s.FlapAgain, FirstSign: us(s.FirstSign), MostServers: s.Most}
+	for i, name := range ranked {
+		kind, _, _ := strings.Cut(name, ".")
+		out.Sources = append(out.Sources, membership.Source{Name: name, Rank: i, Silent: us(s.Silent), Forget: us(s.Forget), Trusted: slices.Contains(s.Trusted, kind)})
+	}
+	return out
+}
+
+var log = logs.For("members")
+
+// Source is a source that runs beside the merge and tells it what it hears.
+type Source interface {
+	// Names are the sources that it is in the merge.
+	Names() []string
+	// Run asks until stop is closed.
+	Run(stop <-chan struct{})
+}
+
+// Sink takes what sources hear. Service is one; a virtual drive has its own.
+type Sink interface {
+	Observe(o membership.Observation)
+}
+
+// Service is the merge in service.
+type Service struct {
+	cells int
+	to    targets.Taker
+	epoch time.Time
+
+	mu      sync.Mutex
+	core    *membership.Members
+	asked   bool // the decisions wait for a list
+	heard   bool // some source has answered
+	rows    *Rows
+	version int64
+	timer   *time.Timer
+	floored bool
+	changes int64
+	skipped int64 // claims of cells that are not there
+	stopped bool
+	prove   func(addrs []string) bool // nil: probes are not allowed
+	proving chan struct{}
+}
+
+// mostProving bounds the new servers that are probed at once.
+const mostProving = 4
+
+// Prove gives the way to probe a new server: one that answers has had its first sign.
+// It must be called before anything is observed.
+func (s *Service) Prove(answers func(addrs []string) bool) {
+	s.prove, s.proving = answers, make(chan struct{}, mostProving)
+}
+
+// probe probes a new server, where there is room. Under the lock.
+func (s *Service) probe(m membership.Member) {
+	select {
+	case s.proving <- struct{}{}:
+	default: // the same source again will do as a sign
+		return
+	}
+	go func() {
+		defer func() { <-s.proving }()
+		if s.prove(m.Addresses) {
+			s.Sign(m.Name)
+		}
+	}()
+}
+
+// New returns a merge that has heard nothing. What it believes goes to a taker.
+func New(set membership.Settings, cells int, to targets.Taker) (*Service, error) {
+	core, err := membership.New(set)
+	if err != nil {
+		return nil, err
+	}
+	return &Service{core: core, cells: cells, to: to, epoch: time.Now(), rows: NewRows()}, nil
+}
+
+// clock is the exchange's: Unix time at the start, and monotonic from there.
+func (s *Service) clock() membership.Micros {
+	return s.epoch.UnixMicro() + time.Since(s.epoch).Microseconds()
+}
+
+// Configure takes other settings and sources; what sources that stay have said
+// stands.
+func (s *Service) Configure(set membership.Settings) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.core.Configure(set); err != nil {
+		return err
+	}
+	s.step()
+	return nil
+}
+
+// Observe implements Sink.
+func (s *Service) Observe(o membership.Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range o.Claims {
+		if c := &o.Claims[i]; c.HasCell && (c.Cell < 0 || c.Cell >= s.cells) {
+			log.Warn("member-cell", "source", o.Source, "server", c.Name, "cell", c.Cell, "cells", s.cells)
+			c.HasCell = false
+			s.skipped++
+		}
+	}
+	if err := s.core.Observe(s.clock(), o); err != nil { // a source that has just been taken out
+		log.Debug("member-late", "err", err)
+		return
+	}
+	s.heard = s.heard || !o.Failed
+	s.step()
+}
+
+// Sign notes that a server has answered: its first sign, if it wants one.
+func (s *Service) Sign(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Sign(name)
+	s.step()
+}
+
+// step hands on what has changed, and sets the timer. Under the lock.
+func (s *Service) step() {
+	if s.stopped {
+		return
+	}
+	now := s.clock()
+	changed := s.core.Step(now)
+	for _, m := range changed {
+		s.changes++
+		if m.New && s.prove != nil && len(m.Addresses) > 0 {
+			s.probe(m)
+		}
+		log.Info("member", "server", m.Name, "state", m.State, "cell", m.Cell, "why", m.Reason)
+	}
+	if s.core.Floored != s.floored {
+		s.floored = s.core.Floored
+		log.Warn("member-floor", "on", s.floored)
+	}
+	if rows, addrs := s.rows.Delta(changed); s.asked && s.heard {
+		s.asked = false
+		s.version++
+		list, all := s.rows.Whole(s.core.All())
+		s.to.Told(choice.List{Form: choice.Full, Version: s.version, Servers: list}, all)
+	} else if len(rows) > 0 {
+		s.version++
+		s.to.Told(choice.List{Form: choice.Delta, Version: s.version, Servers: rows}, addrs)
+	}
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+	if due := s.core.Due(); due > 0 {
+		s.timer = time.AfterFunc(time.Duration(max(due-now, 1000))*time.Microsecond, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.step()
+		})
+	}
+}
+
+// Watch implements back.Lister: the decisions get the whole list at once, or as soon
+// as any source has answered.
+func (s *Service) Watch(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asked = on; on {
+		s.step()
+	}
+}
+
+// Fetch implements back.Lister.
+func (s *Service) Fetch() { s.Watch(true) }
+
+// Run implements back.Lister.
+func (s *Service) Run(stop <-chan struct{}) {
+	<-stop
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+// Heard tells whether any source has answered.
+func (s *Service) Heard() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard
+}
+
+// Rows turns members into the decisions' rows. It holds what they were told, and of
+// a bounded number of names the cell that they first had.
+type Rows struct {
+	told  map[string]row
+	cells map[string]int
+}
+
+// mostCells bounds the names whose first cell is held.
+const mostCells = 1 << 16
+
+type row struct {
+	id string
+	choice.Server
+	addrs []string
+}
+
+// NewRows returns rows of which nothing has been told.
+func NewRows() *Rows { return &Rows{told: make(map[string]row), cells: make(map[string]int)} }
+
+func (r *Rows) of(m membership.Member) row {
+	out := row{id: m.Name, addrs: m.Addresses, Server: choice.Server{Zone: m.Site, Kind: m.Kind, Cell: m.Cell, Scale: m.Weight, UpSince: m.Since}}
+	if out.Scale <= 0 {
+		out.Scale = 1
+	}
+	switch m.State {
+	case membership.Ready:
+		out.State = choice.Ready
+	case membership.Draining:
+		out.State = choice.Draining
+	}
+	// The decisions never move a server: in another cell it is another one to them.
+	first, known := r.cells[m.Name]
+	if !known && len(r.cells) < mostCells {
+		first, known = m.Cell, true
+		r.cells[m.Name] = first
+	}
+	if !known || first != m.Cell {
+		out.id = fmt.Sprintf("%s~%d", m.Name, m.Cell)
+	}
+	out.ID = out.id
+	return out
+}
+
+// Delta are the rows that members which changed make; a row that says what was told
+// is none.
+func (r *Rows) Delta(changed []membership.Member) (list []choice.Server, addrs targets.Addrs) {
+	addrs = make(targets.Addrs)
+	for _, m := range changed {
+		was, known := r.told[m.Name]
+		now := r.of(m)
+		if now.State == choice.Gone {
+			delete(r.told, m.Name)
+			if known {
+				list = append(list, choice.Server{ID: was.id, Zone: was.Zone, Kind: was.Kind, Cell: was.Cell, Scale: was.Scale, State: choice.Gone})
+			}
+			continue
+		}
+		if known && was.id != now.id {
+			list = append(list, choice.Server{ID: was.id, Zone: was.Zone, Kind: was.Kind, Cell: was.Cell, Scale: was.Scale, State: choice.Gone})
+			known = false
+		}
+		if known && was.Server == now.Server && slices.Equal(was.addrs, now.addrs) {
+			continue
+		}
+		r.told[m.Name] = now
+		list = append(list, now.Server)
+		addrs[now.id] = now.addrs
+	}
+	return list, addrs
+}
+
+// Whole are the rows of all members, which now count as told.
+func (r *Rows) Whole(all []membership.Member) (list []choice.Server, addrs targets.Addrs) {
+	addrs = make(targets.Addrs)
+	for _, m := range all {
+		if now := r.of(m); now.State != choice.Gone {
+			r.told[m.Name] = now
+			list = append(list, now.Server)
+			addrs[now.id] = now.addrs
+		}
+	}
+	return list, addrs
+}
+
+// ---- What operators see.
+
+// Report is what is believed at a moment.
+type Report struct {
+	Ready, Draining, Withheld, Gone int
+	Floor                           bool
+	Changes, Damped, Refused        int64
+	Skipped                         int64
+	Sources                         []membership.Told
+	Members                         []membership.Belief
+	More                            int // members that are not listed here
+}
+
+// Report tells what is believed: of one server, or of all, but of so many at most.
+func (s *Service) Report(name string, most int) (*Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	r := &Report{Floor: s.core.Floored, Changes: s.changes, Damped: s.core.Damped, Refused: s.core.Refused, Skipped: s.skipped, Sources: s.core.Sources(now)}
+	all := s.core.All()
+	for _, m := range all {
+		*[]*int{&r.Ready, &r.Draining, &r.Withheld, &r.Gone}[m.State]++
+	}
+	if name != "" {
+		b, known := s.core.Explain(now, name)
+		if !known {
+			return nil, errors.New("no source has ever named " + name + ", or all have forgotten it")
+		}
+		r.Members = append(r.Members, b)
+		return r, nil
+	}
+	for i, m := range all {
+		if i == most {
+			r.More = len(all) - most
+			break
+		}
+		b, _ := s.core.Explain(now, m.Name)
+		r.Members = append(r.Members, b)
+	}
+	return r, nil
+}
+
+// Counters are the figures for the mixer's counters.
+func (s *Service) Counters(put func(name string, v int64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ready, floor := 0, int64(0)
+	for _, m := range s.core.All() {
+		if m.State == membership.Ready {
+			ready++
+		}
+	}
+	if s.core.Floored {
+		floor = 1
+	}
+	put("members_ready", int64(ready))
+	put("member_changes", s.changes)
+	put("member_damped", s.core.Damped)
+	put("member_refused", s.core.Refused)
+	put("member_skipped", s.skipped)
+	put("member_floor", floor)
+	for _, t := range s.core.Sources(s.clock()) {
+		name := strings.NewReplacer(".", "_", "-", "_").Replace(t.Name)
+		put("source_"+name+"_calls", t.Calls)
+		put("source_"+name+"_failed", t.Failed)
+		put("source_"+name+"_old", t.Old)
+		put("source_"+name+"_servers", int64(t.Servers))
+		put("source_"+name+"_age_ms", t.Age/1000)
+	}
+}
+
+// List is the platform's list as a source. It implements targets.Taker.
+type List struct{ To Sink }
+
+// ListName is its name in the merge.
+const ListName = "list"
+
+// Told implements targets.Taker.
+func (l List) Told(list choice.List, addrs targets.Addrs) {
+	o := membership.Observation{Source: ListName, Index: list.Version, Whole: list.Form != choice.Delta, Reset: list.Form == choice.Full}
+	for _, row := range list.Servers {
+		if row.State == choice.Gone {
+			o.Gone = append(o.Gone, row.ID)
+			continue
+		}
+		o.Claims = append(o.Claims, membership.Claim{Name: row.ID, Addresses: addrs[row.ID], Site: row.Zone, Kind: row.Kind, Cell: row.Cell, HasCell: true,
+			Drain: row.State == choice.Draining, Weight: row.Scale, Since: row.UpSince})
+	}
+	l.To.Observe(o)
+}
+
+// Failed implements targets.Taker.
+func (l List) Failed() {
+	l.To.Observe(membership.Observation{Source: ListName, Failed: true})
+}
