Stand-ins for Consul's API and for DNS; tests of sources, of several addresses and of the merge

The stand-ins are written from the published protocols and err on request: lost leader, index that begins anew, old servers, silence, truncation, lies, storms.

--- /dev/null
+++ b/internal/lab/dnsserver/dnsserver.go
@@ -0,0 +1,272 @@
+// Package dnsserver is a stand-in for a DNS server that has one SRV name and its
+// targets, over UDP and TCP at one port. It owns what it is told to say, and its
+// faults: silence, truncation, wrong answers, a storm of datagrams. It must never
+// answer what a resolver could not be made to answer.
+package dnsserver
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/miekg/dns"
+)
+
+// Target is one target of the name.
+type Target struct {
+	Name     string // without the last dot
+	Addrs    []string
+	Port     uint16
+	Priority uint16
+	Weight   uint16
+	Text     string // of its TXT record; empty: there is none
+}
+
+// Faults are how the server errs. All may change at any time.
+type Faults struct {
+	Silent    bool
+	Truncate  bool          // over UDP
+	Rcode     int           // instead of an answer; 0: none
+	Empty     bool          // the name is not there
+	Lame      bool          // neither an authority nor a resolver
+	Storm     int           // datagrams that answer nothing, before each answer
+	Lie       bool          // answers another question instead, over UDP
+	Bare      bool          // no additional section
+	NoEDNS    bool          // FORMERR to what has EDNS
+	Delay     time.Duration // before each answer
+	TTL       uint32
+	WrongAddr string // said in place of every address
+}
+
+// Server is one server.
+type Server struct {
+	Addr string
+	// Told, if set, is called once an answer with this target's TXT record was written.
+	Told func(t Target, at time.Time)
+
+	name     string
+	udp, tcp *dns.Server
+
+	mu      sync.Mutex
+	faults  Faults
+	targets map[string]Target
+	order   []string
+	asked   map[string]int // by type, and over tcp as tcp
+}
+
+// Listen starts a server for a name.
+func Listen(name string, ttl uint32, targets []Target) (*Server, error) {
+	var pc net.PacketConn
+	var ln net.Listener
+	var err error
+	for range 20 { // one port for both
+		if ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+		if pc, err = net.ListenPacket("udp", ln.Addr().String()); err == nil {
+			break
+		}
+		ln.Close()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("no port that is free over both: %w", err)
+	}
+	s := &Server{Addr: ln.Addr().String(), name: dns.Fqdn(strings.ToLower(name)), targets: make(map[string]Target), asked: make(map[string]int)}
+	s.faults.TTL = ttl
+	for _, t := range targets {
+		s.put(t)
+	}
+	s.udp = &dns.Server{PacketConn: pc, Handler: dns.HandlerFunc(func(w dns.ResponseWriter, q *dns.Msg) { s.serve(w, q, false) })}
+	s.tcp = &dns.Server{Listener: ln, Handler: dns.HandlerFunc(func(w dns.ResponseWriter, q *dns.Msg) { s.serve(w, q, true) })}
+	go s.udp.ActivateAndServe()
+	go s.tcp.ActivateAndServe()
+	return s, nil
+}
+
+// Close ends the server.
+func (s *Server) Close() {
+	s.udp.Shutdown()
+	s.tcp.Shutdown()
+}
+
+func (s *Server) put(t Target) {
+	key := strings.ToLower(t.Name)
+	if _, known := s.targets[key]; !known {
+		s.order = append(s.order, key)
+	}
+	s.targets[key] = t
+}
+
+// Put changes or adds a target.
+func (s *Server) Put(t Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(t)
+}
+
+// Remove takes a target out.
+func (s *Server) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := strings.ToLower(name)
+	delete(s.targets, key)
+	s.order = slices.DeleteFunc(s.order, func(o string) bool { return o == key })
+}
+
+// Set changes the faults.
+func (s *Server) Set(f func(*Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.faults)
+}
+
+// Asked counts the questions by type, and those that came over TCP as tcp.
+func (s *Server) Asked(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked[kind]
+}
+
+func (s *Server) serve(w dns.ResponseWriter, q *dns.Msg, tcp bool) {
+	if len(q.Question) != 1 {
+		return
+	}
+	s.mu.Lock()
+	f := s.faults
+	s.asked[dns.TypeToString[q.Question[0].Qtype]]++
+	if tcp {
+		s.asked["tcp"]++
+	}
+	m, told := s.answer(q, f)
+	s.mu.Unlock()
+	if f.Silent {
+		return
+	}
+	time.Sleep(f.Delay)
+	if !tcp {
+		for i := range f.Storm { // late answers, answers to others, noise
+			junk := m.Copy()
+			switch i % 3 {
+			case 0:
+				junk.Id++
+			case 1:
+				junk.Question[0].Name = "other.example.org."
+			case 2:
+				w.Write([]byte("noise"))
+				continue
+			}
+			w.WriteMsg(junk)
+		}
+		if f.Lie {
+			m.Question[0].Name = "other.example.org."
+		}
+		if f.Truncate {
+			m.Answer, m.Extra, m.Truncated = nil, nil, true
+			told = nil
+		} else if m.Len() > limit(q) {
+			m.Truncate(limit(q))
+			told = nil
+		}
+	}
+	if w.WriteMsg(m) == nil && s.Told != nil {
+		at := time.Now()
+		for _, t := range told {
+			s.Told(t, at)
+		}
+	}
+}
+
+// limit is what a datagram may hold.
+func limit(q *dns.Msg) int {
+	if o := q.IsEdns0(); o != nil {
+		return int(o.UDPSize())
+	}
+	return dns.MinMsgSize
+}
+
+// answer is under the lock.
+func (s *Server) answer(q *dns.Msg, f Faults) (m *dns.Msg, told []Target) {
+	m = new(dns.Msg).SetReply(q)
+	m.Authoritative, m.RecursionAvailable = !f.Lame, !f.Lame
+	ask := q.Question[0]
+	name := strings.ToLower(ask.Name)
+	head := func(owner string, kind uint16) dns.RR_Header {
+		return dns.RR_Header{Name: owner, Rrtype: kind, Class: dns.ClassINET, Ttl: f.TTL}
+	}
+	switch {
+	case f.NoEDNS && q.IsEdns0() != nil:
+		m.Rcode = dns.RcodeFormatError
+		return m, nil
+	case f.Rcode != 0:
+		m.Rcode = f.Rcode
+		return m, nil
+	case f.Lame:
+		return m, nil
+	}
+	soa := &dns.SOA{Hdr: head("example.org.", dns.TypeSOA), Ns: "ns.example.org.", Mbox: "ops.example.org.", Minttl: f.TTL}
+	if name == s.name {
+		if f.Empty {
+			m.Rcode, m.Ns = dns.RcodeNameError, []dns.RR{soa}
+			return m, nil
+		}
+		for _, key := range s.order {
+			t := s.targets[key]
+			if ask.Qtype == dns.TypeSRV {
+				m.Answer = append(m.Answer, &dns.SRV{Hdr: head(ask.Name, dns.TypeSRV), Target: dns.Fqdn(t.Name), Port: t.Port, Priority: t.Priority, Weight: t.Weight})
+			}
+			if !f.Bare {
+				m.Extra = append(m.Extra, s.addrs(t, 0, f, head)...)
+			}
+		}
+	} else if t, known := s.targets[strings.TrimSuffix(name, ".")]; known {
+		switch ask.Qtype {
+		case dns.TypeA, dns.TypeAAAA:
+			m.Answer = s.addrs(t, ask.Qtype, f, head)
+		case dns.TypeTXT:
+			if t.Text != "" {
+				m.Answer = append(m.Answer, &dns.TXT{Hdr: head(ask.Name, dns.TypeTXT), Txt: []string{t.Text}})
+				told = append(told, t)
+			}
+		}
+	} else {
+		m.Rcode = dns.RcodeNameError
+	}
+	if len(m.Answer) == 0 {
+		m.Ns = []dns.RR{soa}
+	}
+	return m, told
+}
+
+// addrs are a target's address records, of one type or (0) of both.
+func (s *Server) addrs(t Target, kind uint16, f Faults, head func(string, uint16) dns.RR_Header) (out []dns.RR) {
+	for _, a := range t.Addrs {
+		if f.WrongAddr != "" {
+			a = f.WrongAddr
+		}
+		ip := net.ParseIP(a)
+		four := ip.To4() != nil
+		switch {
+		case four && kind != dns.TypeAAAA:
+			out = append(out, &dns.A{Hdr: head(dns.Fqdn(t.Name), dns.TypeA), A: ip})
+		case !four && kind != dns.TypeA:
+			out = append(out, &dns.AAAA{Hdr: head(dns.Fqdn(t.Name), dns.TypeAAAA), AAAA: ip})
+		}
+	}
+	return out
+}
+
+// TextOf is the TXT record of a leaf server's target.
+func TextOf(name, site, kind string, cell int, draining bool, since int64) string {
+	text := "cell=" + strconv.Itoa(cell) + " name=" + name + " site=" + site + " kind=" + kind
+	if since > 0 {
+		text += " since_ms=" + strconv.FormatInt(since, 10)
+	}
+	if draining {
+		text += " state=draining"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/source/consul/consul_test.go
@@ -0,0 +1,219 @@
+package consul
+
+import (
+	"encoding/pem"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"saddleport/internal/core/membership"
+	"saddleport/internal/inifile"
+	"saddleport/internal/lab/consulapi"
+	"saddleport/internal/logs"
+)
+
+// heard gathers observations.
+type heard struct {
+	mu  sync.Mutex
+	all []membership.Observation
+}
+
+func (h *heard) Observe(o membership.Observation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.all = append(h.all, o)
+}
+
+// until waits for an observation that is as wanted; what came before it is dropped.
+func (h *heard) until(t *testing.T, what string, want func(o membership.Observation) bool) membership.Observation {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		h.mu.Lock()
+		i := slices.IndexFunc(h.all, want)
+		if i >= 0 {
+			o := h.all[i]
+			h.all = h.all[i+1:]
+			h.mu.Unlock()
+			return o
+		}
+		h.mu.Unlock()
+	}
+	t.Fatalf("never heard: %s", what)
+	return membership.Observation{}
+}
+
+func settings(change func(*Settings)) Settings {
+	var s Settings
+	inifile.Default(&s)
+	s.Wait = 10 * time.Second
+	if change != nil {
+		change(&s)
+	}
+	return s
+}
+
+func instance(id string, cell int) consulapi.Instance {
+	return consulapi.Instance{ID: id, Node: "node-" + id, Site: "zarqa", Kind: "std-2c", Address: "127.0.0.1:7001", Cell: cell, Status: "passing"}
+}
+
+func start(t *testing.T, s Settings, h *heard) (stop func()) {
+	c, err := New(s, h)
+	require.NoError(t, err)
+	done, over := make(chan struct{}), make(chan struct{})
+	go func() { c.Run(done); close(over) }()
+	stop = sync.OnceFunc(func() { close(done); <-over })
+	t.Cleanup(stop)
+	return stop
+}
+
+func named(o membership.Observation, id string) *membership.Claim {
+	for i := range o.Claims {
+		if o.Claims[i].Name == id {
+			return &o.Claims[i]
+		}
+	}
+	return nil
+}
+
+// What instances, checks, maintenance, tags and meta say; changes come by the watch.
+func TestWatch(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	a := instance("a", 3)
+	a.Meta = map[string]string{"unix": "/run/a.sock", "weight": "2.5"}
+	srv, err := consulapi.Listen("trips", []consulapi.Instance{a, instance("b", 4)})
+	require.NoError(t, err)
+	defer srv.Close()
+	h := &heard{}
+	stop := start(t, settings(func(s *Settings) { s.Addrs = []string{srv.Addr} }), h)
+	o := h.until(t, "both", func(o membership.Observation) bool { return len(o.Claims) == 2 })
+	require.Equal(t, membership.Claim{Name: "a", Addresses: []string{"127.0.0.1:7001", "unix:/run/a.sock"}, Site: "zarqa", Kind: "std-2c", Cell: 3, HasCell: true,
+		Health: membership.Passing, Weight: 2.5}, *named(o, "a"))
+	b := instance("b", 4)
+	b.Maintenance = true
+	srv.Put(b)
+	h.until(t, "a drain", func(o membership.Observation) bool { c := named(o, "b"); return c != nil && c.Drain && c.Health == membership.Passing })
+	b.Maintenance, b.Status, b.Tags = false, "critical", []string{"draining"}
+	srv.Put(b)
+	h.until(t, "critical", func(o membership.Observation) bool { c := named(o, "b"); return c != nil && c.Drain && c.Health == membership.Critical })
+	srv.Remove("b")
+	h.until(t, "gone", func(o membership.Observation) bool { return o.Whole && named(o, "b") == nil && named(o, "a") != nil })
+	stop()
+}
+
+// The leader is lost: no answer is news, also not one that a server gives by itself;
+// the index begins anew: the leader's word settles that; an old server is not believed.
+func TestLeaderAndIndex(t *testing.T) {
+	srv, err := consulapi.Listen("trips", []consulapi.Instance{instance("a", 3)})
+	require.NoError(t, err)
+	defer srv.Close()
+	h := &heard{}
+	start(t, settings(func(s *Settings) { s.Addrs = []string{srv.Addr} }), h)
+	first := h.until(t, "a", func(o membership.Observation) bool { return named(o, "a") != nil })
+	srv.Set(func(f *consulapi.Faults) { f.NoLeader, f.Empty = true, true })
+	h.until(t, "a failure", func(o membership.Observation) bool { return o.Failed })
+	srv.Set(func(f *consulapi.Faults) { f.NoLeader, f.Empty, f.Contact = false, false, time.Minute })
+	h.until(t, "a failure for an old server", func(o membership.Observation) bool { return o.Failed })
+	srv.Set(func(f *consulapi.Faults) { f.Contact = 0 })
+	h.until(t, "a again", func(o membership.Observation) bool { return named(o, "a") != nil && o.Index > first.Index })
+	srv.Reset()
+	o := h.until(t, "a reset", func(o membership.Observation) bool { return o.Reset })
+	require.Less(t, o.Index, first.Index)
+	srv.Put(instance("c", 1))
+	h.until(t, "news after the reset", func(o membership.Observation) bool { return named(o, "c") != nil && !o.Reset })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range h.all {
+		require.False(t, !o.Failed && len(o.Claims) == 0, "an answer without a leader was taken for news")
+	}
+}
+
+// A silent agent is left for the next; the token comes from the file, is read again
+// when it has changed, and never stands in the log; TLS trusts the file alone.
+func TestAddressesTokenTLS(t *testing.T) {
+	var log strings.Builder
+	defer logs.To(&log)()
+	dead, err := consulapi.Listen("trips", nil)
+	require.NoError(t, err)
+	dead.Close()
+	srv, err := consulapi.Listen("trips", []consulapi.Instance{instance("a", 3)})
+	require.NoError(t, err)
+	defer srv.Close()
+	srv.Set(func(f *consulapi.Faults) { f.Token = "s3cret-two" })
+	token := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(token, []byte("s3cret-one\n"), 0o600))
+	back, _ := url.Parse("http://" + srv.Addr)
+	front := httptest.NewTLSServer(httputil.NewSingleHostReverseProxy(back))
+	defer front.Close()
+	front.Config.ErrorLog = nil
+	ca := filepath.Join(t.TempDir(), "ca.pem")
+	require.NoError(t, os.WriteFile(ca, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: front.Certificate().Raw}), 0o600))
+	h := &heard{}
+	stop := start(t, settings(func(s *Settings) {
+		s.Addrs, s.Token, s.TLS, s.CA = []string{dead.Addr, strings.TrimPrefix(front.URL, "https://")}, token, true, ca
+	}), h)
+	h.until(t, "a refusal", func(o membership.Observation) bool { return o.Failed })
+	require.NoError(t, os.WriteFile(token, []byte("s3cret-two"), 0o600))
+	h.until(t, "a", func(o membership.Observation) bool { return named(o, "a") != nil })
+	stop()
+	require.NotContains(t, log.String(), "s3cret")
+
+	bad := &heard{}
+	start(t, settings(func(s *Settings) { s.Addrs, s.TLS = []string{strings.TrimPrefix(front.URL, "https://")}, true }), bad)
+	bad.until(t, "an authority that is not trusted", func(o membership.Observation) bool { return o.Failed })
+	for _, s := range []Settings{settings(func(s *Settings) { s.Token = ca + ".none" }), settings(func(s *Settings) { s.CA = token })} {
+		_, err := New(s, bad)
+		require.Error(t, err)
+	}
+}
+
+// An answer of any bytes, or of too many, is none.
+func TestBadAnswers(t *testing.T) {
+	body := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Consul-Index", "7")
+		w.Write([]byte(<-body))
+	}))
+	defer srv.Close()
+	c, err := New(settings(func(s *Settings) { s.Bytes = 1 << 10 }), nil)
+	require.NoError(t, err)
+	for text, want := range map[string]string{"": "EOF", "{": "unexpected", "[{}]": "", `[{"Service":{"ID":"a","Port":99999,"Address":"h"}}]`: "",
+		"[" + strings.Repeat("{},", 1000): "more than 1KiB", `{"Node":1}`: "cannot unmarshal"} {
+		body <- text
+		claims, _, err := c.ask(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "", "stale", 0)
+		if want == "" {
+			require.NoError(t, err, text)
+			require.Empty(t, claims)
+			continue
+		}
+		require.ErrorContains(t, err, want, text)
+	}
+}
+
+// The mixer's own entry is kept up, put back after the agent has lost it, and taken
+// out at the end.
+func TestKeep(t *testing.T) {
+	srv, err := consulapi.Listen("trips", nil)
+	require.NoError(t, err)
+	defer srv.Close()
+	c, err := New(settings(func(s *Settings) { s.Addrs, s.Register, s.TTL = []string{srv.Addr}, "mixers", 60*time.Millisecond }), nil)
+	require.NoError(t, err)
+	stop, over := make(chan struct{}), make(chan struct{})
+	go func() { c.Keep("n3", "127.0.0.1:8080", stop); close(over) }()
+	require.Eventually(t, func() bool { _, n := srv.Calls(); return n > 2 && len(srv.Registered()) == 1 }, 20*time.Second, time.Millisecond)
+	srv.Forget()
+	require.Eventually(t, func() bool { return slices.Equal(srv.Registered(), []string{"mixers-n3"}) }, 20*time.Second, time.Millisecond)
+	close(stop)
+	<-over
+	require.Empty(t, srv.Registered())
+}
--- /dev/null
+++ b/internal/source/dnssrv/dnssrv_test.go
@@ -0,0 +1,242 @@
+package dnssrv
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"saddleport/internal/core/membership"
+	"saddleport/internal/inifile"
+	"saddleport/internal/lab/dnsserver"
+)
+
+const name = "_trips._tcp.zarqa.example.org"
+
+type heard struct {
+	mu  sync.Mutex
+	all []membership.Observation
+}
+
+func (h *heard) Observe(o membership.Observation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.all = append(h.all, o)
+}
+
+// until waits for an observation that is as wanted; what came before it is dropped.
+func (h *heard) until(t *testing.T, what string, want func(o membership.Observation) bool) membership.Observation {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		h.mu.Lock()
+		if i := slices.IndexFunc(h.all, want); i >= 0 {
+			o := h.all[i]
+			h.all = h.all[i+1:]
+			h.mu.Unlock()
+			return o
+		}
+		h.mu.Unlock()
+	}
+	t.Fatalf("never heard: %s", what)
+	return membership.Observation{}
+}
+
+func (h *heard) never(t *testing.T, what string, bad func(o membership.Observation) bool) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.False(t, slices.ContainsFunc(h.all, bad), what)
+}
+
+func named(o membership.Observation, id string) *membership.Claim {
+	if i := slices.IndexFunc(o.Claims, func(c membership.Claim) bool { return c.Name == id }); i >= 0 {
+		return &o.Claims[i]
+	}
+	return nil
+}
+
+// usable: the claim of a server that has all that a part needs.
+func usable(o membership.Observation, id string) bool {
+	c := named(o, id)
+	return c != nil && c.HasCell && len(c.Addresses) > 0
+}
+
+func settings(change func(*Settings), servers ...*dnsserver.Server) Settings {
+	var s Settings
+	inifile.Default(&s)
+	s.Names, s.Floor, s.Timeout = []string{name}, 100*time.Millisecond, 200*time.Millisecond
+	for _, d := range servers {
+		s.Resolvers = append(s.Resolvers, d.Addr)
+	}
+	if change != nil {
+		change(&s)
+	}
+	return s
+}
+
+func target(id string, cell int, addrs ...string) dnsserver.Target {
+	return dnsserver.Target{Name: id + ".zarqa.example.org", Addrs: addrs, Port: 7001, Text: dnsserver.TextOf(id, "zarqa", "std-2c", cell, false, 0)}
+}
+
+func listen(t *testing.T, ttl uint32, targets ...dnsserver.Target) *dnsserver.Server {
+	s, err := dnsserver.Listen(name, ttl, targets)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func start(t *testing.T, s Settings) (*heard, func()) {
+	h := &heard{}
+	require.NoError(t, s.Check())
+	done, over := make(chan struct{}), make(chan struct{})
+	go func() { New(s, h).Run(done); close(over) }()
+	stop := sync.OnceFunc(func() { close(done); <-over })
+	t.Cleanup(stop)
+	return h, stop
+}
+
+// Targets, addresses of both families, what TXT says; a drain and a target that goes
+// come with the records' lifetime.
+func TestRecords(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	srv, err := dnsserver.Listen(name, 0, []dnsserver.Target{target("s-1", 3, "127.0.0.1", "::1"), target("s-2", 4, "127.0.0.2")})
+	require.NoError(t, err)
+	h, stop := start(t, settings(nil, srv))
+	o := h.until(t, "both", func(o membership.Observation) bool { return usable(o, "s-1") && usable(o, "s-2") })
+	require.Equal(t, membership.Claim{Name: "s-1", Addresses: []string{"[::1]:7001", "127.0.0.1:7001"}, Site: "zarqa", Kind: "std-2c", Cell: 3, HasCell: true, Weight: 1}, *named(o, "s-1"))
+	drained := target("s-2", 4, "127.0.0.2")
+	drained.Text = dnsserver.TextOf("s-2", "zarqa", "std-2c", 4, true, 7)
+	srv.Put(drained)
+	h.until(t, "a drain", func(o membership.Observation) bool { c := named(o, "s-2"); return c != nil && c.Drain && c.Since == 7000 })
+	srv.Remove("s-2.zarqa.example.org")
+	h.until(t, "gone", func(o membership.Observation) bool { return o.Whole && usable(o, "s-1") && named(o, "s-2") == nil })
+	stop()
+	srv.Close()
+}
+
+// Truncated: over TCP. No EDNS, no additional section: asked without, asked for. Junk
+// and answers to other questions: passed over.
+func TestOddServers(t *testing.T) {
+	for what, f := range map[string]func(*dnsserver.Faults){
+		"truncated": func(f *dnsserver.Faults) { f.Truncate = true },
+		"no EDNS":   func(f *dnsserver.Faults) { f.NoEDNS = true },
+		"bare":      func(f *dnsserver.Faults) { f.Bare = true },
+		"storm":     func(f *dnsserver.Faults) { f.Storm = 30 },
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			srv := listen(t, 60, target("s-1", 3, "127.0.0.1"))
+			srv.Set(f)
+			h, _ := start(t, settings(func(s *Settings) { s.Timeout = 5 * time.Second }, srv))
+			h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+			if what == "truncated" {
+				require.Positive(t, srv.Asked("tcp"))
+			}
+		})
+	}
+	// Many targets do not fit into a datagram: all come, over TCP.
+	var many []dnsserver.Target
+	for i := range 200 {
+		many = append(many, target("s-"+string(rune('a'+i/26))+string(rune('a'+i%26)), i%4, "127.0.0.1"))
+	}
+	srv := listen(t, 60, many...)
+	h, _ := start(t, settings(func(s *Settings) { s.Timeout, s.Most, s.Parallel = 10*time.Second, 150, 32 }, srv))
+	o := h.until(t, "all that may be", func(o membership.Observation) bool {
+		return len(o.Claims) == 150 && !slices.ContainsFunc(o.Claims, func(c membership.Claim) bool { return !usable(o, c.Name) })
+	})
+	require.Positive(t, srv.Asked("tcp"))
+	require.True(t, o.Whole)
+}
+
+// Resolvers that fail in every way are passed over for one that does not.
+func TestFailingResolvers(t *testing.T) {
+	for what, f := range map[string]func(*dnsserver.Faults){
+		"silent":   func(f *dnsserver.Faults) { f.Silent = true },
+		"servfail": func(f *dnsserver.Faults) { f.Rcode = dns.RcodeServerFailure },
+		"refused":  func(f *dnsserver.Faults) { f.Rcode = dns.RcodeRefused },
+		"lame":     func(f *dnsserver.Faults) { f.Lame = true },
+		"lies":     func(f *dnsserver.Faults) { f.Lie = true },
+		"flood":    func(f *dnsserver.Faults) { f.Storm = 3 * mostJunk },
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			bad, good := listen(t, 60), listen(t, 60, target("s-1", 3, "127.0.0.1"))
+			bad.Set(f)
+			h, _ := start(t, settings(nil, bad, good))
+			h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+			h.never(t, "an empty answer", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
+		})
+	}
+}
+
+// A resolver that says that the name is not there, and one that has it: it is there.
+// Both say so: it is not.
+func TestNoSuchName(t *testing.T) {
+	one, two := listen(t, 0, target("s-1", 3, "127.0.0.1")), listen(t, 0, target("s-1", 3, "127.0.0.1"))
+	one.Set(func(f *dnsserver.Faults) { f.Empty = true })
+	h, _ := start(t, settings(nil, one, two))
+	h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+	h.never(t, "an empty answer", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
+	two.Set(func(f *dnsserver.Faults) { f.Empty = true })
+	h.until(t, "nothing", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
+}
+
+// A resolver that goes silent: what was said stands as stale, the source counts as
+// failed, and nothing is said to be gone; back again, it is heard.
+func TestSilence(t *testing.T) {
+	srv := listen(t, 0, target("s-1", 3, "127.0.0.1"))
+	h, _ := start(t, settings(func(s *Settings) { s.Timeout = 20 * time.Millisecond }, srv))
+	h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+	srv.Set(func(f *dnsserver.Faults) { f.Silent = true })
+	h.until(t, "a failure", func(o membership.Observation) bool { return o.Failed })
+	h.until(t, "another", func(o membership.Observation) bool { return o.Failed })
+	srv.Set(func(f *dnsserver.Faults) { f.Silent = false })
+	h.until(t, "s-1 again", func(o membership.Observation) bool { return usable(o, "s-1") })
+	h.never(t, "an answer without s-1", func(o membership.Observation) bool { return !o.Failed && named(o, "s-1") == nil })
+}
+
+// RFC 2782: of each cell the lowest priority alone; weights count within it; the
+// target "." is none.
+func TestPriorities(t *testing.T) {
+	a, b, c := target("s-1", 3, "127.0.0.1"), target("s-2", 3, "127.0.0.2"), target("s-3", 4, "127.0.0.3")
+	b.Priority, c.Priority = 10, 10
+	a.Weight = 30
+	d := target("s-4", 3, "127.0.0.4")
+	d.Weight = 10
+	srv := listen(t, 60, a, b, c, d)
+	h, _ := start(t, settings(nil, srv))
+	o := h.until(t, "three", func(o membership.Observation) bool {
+		return len(o.Claims) == 3 && usable(o, "s-1") && usable(o, "s-3") && usable(o, "s-4")
+	})
+	require.InDelta(t, 1.5, named(o, "s-1").Weight, 1e-9)
+	require.InDelta(t, 0.5, named(o, "s-4").Weight, 1e-9)
+	h, _ = start(t, settings(func(s *Settings) { s.Cell = "label" }, listen(t, 60, dnsserver.Target{Name: "trip7.c2.zarqa.example.org", Addrs: []string{"127.0.0.1"}, Port: 1})))
+	o = h.until(t, "a label", func(o membership.Observation) bool { return usable(o, "trip7.c2.zarqa.example.org") })
+	require.Equal(t, 2, o.Claims[0].Cell)
+}
+
+// FuzzRead reads any message as an answer.
+func FuzzRead(f *testing.F) {
+	m := new(dns.Msg).SetQuestion(name+".", dns.TypeSRV)
+	m.Response = true
+	m.Answer = []dns.RR{&dns.SRV{Hdr: dns.RR_Header{Name: name + ".", Rrtype: dns.TypeSRV, Class: dns.ClassINET, Ttl: 5}, Target: "a.example.org.", Port: 1}}
+	b, _ := m.Pack()
+	f.Add(b)
+	s := New(settings(nil), nil)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := new(dns.Msg)
+		if m.Unpack(b) != nil {
+			return
+		}
+		a := s.read(m, name+".", dns.TypeSRV)
+		for _, rr := range a.records {
+			if _, ok := rr.(*dns.SRV); !ok {
+				t.Fatalf("%T among SRV records", rr)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/source/members/members_test.go
@@ -0,0 +1,135 @@
+package members
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"saddleport/choice"
+	"saddleport/internal/core/membership"
+	"saddleport/internal/inifile"
+	"saddleport/internal/source/targets"
+)
+
+// taken is what the client side and the decisions would have.
+type taken struct {
+	mu    sync.Mutex
+	rows  map[string]choice.Server
+	addrs targets.Addrs
+	forms []choice.Form
+}
+
+func (k *taken) Failed() {}
+
+func (k *taken) Told(l choice.List, a targets.Addrs) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.forms = append(k.forms, l.Form)
+	if l.Form != choice.Delta {
+		clear(k.rows)
+	}
+	for _, s := range l.Servers {
+		k.rows[s.ID] = s
+		k.addrs[s.ID] = a[s.ID]
+	}
+}
+
+func (k *taken) state(id string) choice.State {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rows[id].State
+}
+
+func begin(t *testing.T, change func(*Settings), ranked ...string) (*Service, *taken) {
+	var set Settings
+	inifile.Default(&set)
+	if change != nil {
+		change(&set)
+	}
+	k := &taken{rows: make(map[string]choice.Server), addrs: make(targets.Addrs)}
+	s, err := New(set.Merge(ranked), 8, k)
+	require.NoError(t, err)
+	stop, over := make(chan struct{}), make(chan struct{})
+	go func() { s.Run(stop); close(over) }()
+	t.Cleanup(func() { close(stop); <-over })
+	return s, k
+}
+
+func claim(name string, cell int, drain bool, addrs ...string) membership.Claim {
+	return membership.Claim{Name: name, Cell: cell, HasCell: true, Addresses: addrs, Drain: drain}
+}
+
+// The whole list when it is asked for, changes after that; a drain known to one source
+// alone goes on at once; a server whose cell has changed is another one to the
+// decisions, and never the old one in the new cell.
+func TestService(t *testing.T) {
+	was := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, was) })
+	s, k := begin(t, nil, "list", "consul")
+	s.Watch(true)
+	require.Empty(t, k.forms, "nothing has been heard")
+	l := List{To: s}
+	l.Told(choice.List{Form: choice.Full, Version: 5, Servers: []choice.Server{{ID: "a", Cell: 1, State: choice.Ready, Scale: 1}, {ID: "b", Cell: 2, State: choice.Ready, Scale: 1}}},
+		targets.Addrs{"a": {"h:1"}, "b": {"h:2"}})
+	require.Equal(t, []choice.Form{choice.Full}, k.forms)
+	require.Equal(t, choice.Ready, k.state("a"))
+	s.Observe(membership.Observation{Source: "consul", Index: 1, Whole: true, Claims: []membership.Claim{claim("a", 1, true), claim("b", 2, false)}})
+	require.Equal(t, choice.Draining, k.state("a"))
+	require.Equal(t, []choice.Form{choice.Full, choice.Delta}, k.forms)
+	// Two cells for one server: it is gone until they agree.
+	s.Observe(membership.Observation{Source: "consul", Index: 2, Whole: true, Claims: []membership.Claim{claim("a", 1, true), claim("b", 5, false)}})
+	require.Equal(t, choice.Gone, k.state("b"))
+	l.Told(choice.List{Form: choice.Delta, Version: 6, Servers: []choice.Server{{ID: "b", Cell: 5, State: choice.Ready, Scale: 1}}}, targets.Addrs{"b": {"h:3"}})
+	require.Equal(t, choice.Gone, k.state("b"))
+	require.Equal(t, choice.Ready, k.state("b~5"))
+	require.Equal(t, 5, k.rows["b~5"].Cell)
+	require.Equal(t, []string{"h:3"}, k.addrs["b~5"])
+	// Back in its first cell it has its first name again.
+	s.Observe(membership.Observation{Source: "consul", Index: 3, Whole: true, Claims: []membership.Claim{claim("b", 2, false)}})
+	l.Told(choice.List{Form: choice.Delta, Version: 7, Servers: []choice.Server{{ID: "b", Cell: 2, State: choice.Ready, Scale: 1}}}, targets.Addrs{"b": {"h:3"}})
+	require.Equal(t, choice.Gone, k.state("b~5"))
+	require.Equal(t, choice.Ready, k.state("b"))
+	// A cell that is not there is none.
+	s.Observe(membership.Observation{Source: "consul", Index: 4, Whole: true, Claims: []membership.Claim{claim("z", 99, false, "h:9")}})
+	r, err := s.Report("z", 0)
+	require.NoError(t, err)
+	require.Equal(t, membership.Withheld, r.Members[0].State)
+	require.EqualValues(t, 1, r.Skipped)
+	_, err = s.Report("nobody", 0)
+	require.Error(t, err)
+}
+
+// A new server of a source that is not trusted waits for a sign: here it answers a
+// probe. Time alone changes things too: the timer runs.
+func TestFirstSignAndTime(t *testing.T) {
+	s, k := begin(t, func(s *Settings) { s.FirstSign, s.Silent, s.Forget = time.Hour, time.Second, 200*time.Millisecond }, "consul")
+	asked := make(chan []string, 4)
+	s.Prove(func(addrs []string) bool { asked <- addrs; return addrs[0] == "h:1" })
+	s.Watch(true)
+	s.Observe(membership.Observation{Source: "consul", Index: 1, Whole: true, Claims: []membership.Claim{claim("a", 1, false, "h:1"), claim("b", 1, false, "h:2")}})
+	<-asked
+	<-asked
+	require.Eventually(t, func() bool { return k.state("a") == choice.Ready }, 20*time.Second, time.Millisecond)
+	require.Equal(t, choice.Gone, k.state("b"))
+	require.Eventually(t, func() bool { return k.state("a") == choice.Gone }, 20*time.Second, time.Millisecond, "forgotten, in time")
+}
+
+// Sources are switched under way: what one that stays has said stands.
+func TestConfigure(t *testing.T) {
+	s, k := begin(t, nil, "list", "consul")
+	s.Watch(true)
+	List{To: s}.Told(choice.List{Form: choice.Full, Version: 1, Servers: []choice.Server{{ID: "a", Cell: 1, State: choice.Ready, Scale: 1}}}, targets.Addrs{"a": {"h:1"}})
+	s.Observe(membership.Observation{Source: "consul", Index: 1, Whole: true, Claims: []membership.Claim{claim("a", 1, true, "h:1")}})
+	require.Equal(t, choice.Draining, k.state("a"))
+	var set Settings
+	inifile.Default(&set)
+	require.NoError(t, s.Configure(set.Merge([]string{"consul", "dns"})))
+	require.Equal(t, choice.Draining, k.state("a"), "consul's word stands")
+	require.NoError(t, s.Configure(set.Merge([]string{"list"})))
+	require.Equal(t, choice.Gone, k.state("a"), "nobody who is left has named it")
+	require.Error(t, s.Configure(membership.Settings{}))
+	s.Observe(membership.Observation{Source: "consul", Index: 9}) // late: passed over
+}
