--- a/internal/source/dnssrv/ask.go
+++ b/internal/source/dnssrv/ask.go
@@ -72,9 +72,7 @@
 		m, err := c.ReadMsg()
 		var nerr net.Error
 		switch {
-		case errors.As(err, &nerr) || errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
-			return nil, err
-		case tcp && err != nil:
+		case err != nil && (tcp || errors.As(err, &nerr) || errors.Is(err, net.ErrClosed) || ctx.Err() != nil):
 			return nil, err
 		case err != nil: // a datagram that can't be read may be anybody's
 			continue
