--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -63,7 +63,7 @@
 	{"p99 ms", false, func(s record.Summary) float64 { return float64(s.P99) / 1000 }},
 	{"attempts a query", false, func(s record.Summary) float64 { return float64(s.Parts) / float64(max(s.Queries, 1)) }},
 	{"broken rules", false, func(s record.Summary) float64 {
-		return float64(s.Lost + s.Late + s.Doubled + s.Wrong + s.Drained + s.Capped + s.Pushed)
+		return float64(s.Lost + s.Late + s.Doubled + s.Wrong + s.Drained + s.Capped + s.Pushed + s.Astray)
 	}},
 }
 
--- a/internal/lab/disco/disco.go
+++ b/internal/lab/disco/disco.go
@@ -44,6 +44,8 @@
 	entries map[string]*versioned
 	order   []string
 	changed chan struct{} // closed at the next change
+	silent  bool
+	down    bool
 }
 
 type versioned struct {
@@ -104,7 +106,33 @@
 	return a, s.changed
 }
 
+// Mute has the service answer nothing, or 503 at once, or as usual again.
+func (s *Server) Mute(on, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.down = on && !down, on && down
+	close(s.changed) // those that wait are answered, or not
+	s.changed = make(chan struct{})
+}
+
+// muted serves a call where the service is mute, and tells whether it was.
+func (s *Server) muted(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	silent, down := s.silent, s.down
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+	}
+	if down {
+		http.Error(w, "discovery is down", http.StatusServiceUnavailable)
+	}
+	return silent || down
+}
+
 func (s *Server) targets(w http.ResponseWriter, r *http.Request) {
+	if s.muted(w, r) {
+		return
+	}
 	index, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
 	if err != nil {
 		index = -1
@@ -120,6 +148,9 @@
 		case <-r.Context().Done():
 			return
 		}
+		if s.muted(w, r) {
+			return
+		}
 		a, changed = s.since(index)
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/lab/drill/verdict.go
+++ b/internal/lab/drill/verdict.go
@@ -193,7 +193,7 @@
 	return fmt.Sprintf("verdict=%s queries=%d lost=%d late=%d doubled=%d wrong=%d", verdict,
 		sum(func(v *judge.Verdict) int { return v.Queries }), sum(func(v *judge.Verdict) int { return v.Lost }),
 		sum(func(v *judge.Verdict) int { return v.Late }), sum(func(v *judge.Verdict) int { return v.Doubled }),
-		sum(func(v *judge.Verdict) int { return v.Wrong + v.Drained + v.Capped + v.Pushed }))
+		sum(func(v *judge.Verdict) int { return v.Wrong + v.Drained + v.Capped + v.Pushed + v.Astray }))
 }
 
 func ms(d time.Duration) string { return fmt.Sprintf("%.1f ms", float64(d.Microseconds())/1000) }
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -102,28 +102,30 @@
 	classes map[string]Class
 	grace   time.Duration
 
-	mu      sync.Mutex
-	queries map[string]*Query
-	runs    map[string][]*run // by part id
-	drains  map[string]time.Time
-	open    int
-	cap     int
-	spread  bool // two attempts of a part may be out at once
-	pushed  []string
-	kinds   map[string]int // of faults, so far
-	done    *Verdict       // of what has been settled
-	tallies map[string]*Tally
-	spans   map[string]*hdrhistogram.Histogram
-	from    time.Time
-	to      time.Time
-	byKey   map[string][]string // who ran a key's booking
-	byQuery map[string][]*run
+	mu          sync.Mutex
+	queries     map[string]*Query
+	runs        map[string][]*run               // by part id
+	drains      map[string]map[string]time.Time // by server (and mixer), and by who told
+	astray      int                             // attempts at servers that do not hold the part
+	open        int
+	cap         int
+	spread      bool // two attempts of a part may be out at once
+	pushed      []string
+	astrayNotes []string
+	kinds       map[string]int // of faults, so far
+	done        *Verdict       // of what has been settled
+	tallies     map[string]*Tally
+	spans       map[string]*hdrhistogram.Histogram
+	from        time.Time
+	to          time.Time
+	byKey       map[string][]string // who ran a key's booking
+	byQuery     map[string][]*run
 }
 
 // New returns a judge; grace is how long after a drain is told parts may be sent.
 func New(classes []Class, grace time.Duration) *Judge {
 	j := &Judge{classes: make(map[string]Class), grace: grace, queries: make(map[string]*Query),
-		runs: make(map[string][]*run), drains: make(map[string]time.Time), byKey: make(map[string][]string), byQuery: make(map[string][]*run)}
+		runs: make(map[string][]*run), drains: make(map[string]map[string]time.Time), byKey: make(map[string][]string), byQuery: make(map[string][]*run)}
 	for _, c := range classes {
 		j.classes[c.Name] = c
 	}
@@ -167,10 +169,50 @@
 func (j *Judge) Told(server string, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if at.IsZero() {
-		delete(j.drains, server)
-	} else if j.drains[server].IsZero() {
-		j.drains[server] = at
+	j.told(server, "list", at)
+}
+
+// ToldBy is Told for one mixer and by one of several sources: what another source
+// says of the server does not lift it.
+func (j *Judge) ToldBy(mixer int, source, server string, drains bool, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !drains {
+		at = time.Time{}
+	}
+	j.told(at2(server, mixer), source, at)
+}
+
+func at2(server string, mixer int) string { return server + "@" + strconv.Itoa(mixer) }
+
+func (j *Judge) told(key, source string, at time.Time) {
+	switch {
+	case at.IsZero():
+		delete(j.drains[key], source)
+	case j.drains[key] == nil:
+		j.drains[key] = map[string]time.Time{source: at}
+	case j.drains[key][source].IsZero():
+		j.drains[key][source] = at
+	}
+}
+
+// Restarted notes that a server's process is another one: no drain of the one before
+// holds for it.
+func (j *Judge) Restarted(server string, mixers int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for n := range mixers {
+		delete(j.drains, at2(server, n))
+	}
+}
+
+// Astray notes an attempt at a server that does not hold the part's segment.
+func (j *Judge) Astray(part, server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.astray++
+	if j.astray <= mostFaults {
+		j.astrayNotes = append(j.astrayNotes, fmt.Sprintf("astray: part %s was sent to %s, which does not hold it", part, server))
 	}
 }
 
@@ -182,11 +224,20 @@
 
 // Arrived notes an attempt.
 func (j *Judge) Arrived(part, server string, at time.Time) *Attempt {
+	return j.ArrivedFrom(-1, part, server, at)
+}
+
+// ArrivedFrom is Arrived from a mixer of that number.
+func (j *Judge) ArrivedFrom(mixer int, part, server string, at time.Time) *Attempt {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r := &run{part: part, server: server, at: at}
-	if told := j.drains[server]; !told.IsZero() && at.Sub(told) > j.grace {
-		r.afterDrainBy = at.Sub(told)
+	for _, key := range []string{server, at2(server, mixer)} {
+		for _, told := range j.drains[key] {
+			if at.Sub(told) > j.grace {
+				r.afterDrainBy = max(r.afterDrainBy, at.Sub(told))
+			}
+		}
 	}
 	j.runs[part] = append(j.runs[part], r)
 	query, _, _ := strings.Cut(part, ".")
@@ -241,7 +292,7 @@
 type Verdict struct {
 	Classes                                           []Tally
 	Queries, Lost, Late, Doubled, Wrong, Drained, Gap int
-	Capped, Pushed                                    int
+	Capped, Pushed, Astray                            int
 	Faults                                            []string // the first of them, for people
 }
 
@@ -252,7 +303,7 @@
 
 // Broken counts the breaks of rules.
 func (v *Verdict) Broken() int {
-	return v.Lost + v.Late + v.Doubled + v.Wrong + v.Drained + v.Capped + v.Pushed
+	return v.Lost + v.Late + v.Doubled + v.Wrong + v.Drained + v.Capped + v.Pushed + v.Astray
 }
 
 // begin readies what the verdict is gathered in.
@@ -348,6 +399,8 @@
 		v.Pushed++
 		j.fault("pushed: %s fell while it was cold: it was sent more than it can bear", server)
 	}
+	v.Astray = j.astray
+	v.Faults = append(v.Faults, j.astrayNotes...)
 	for _, name := range slices.Sorted(maps.Keys(j.tallies)) {
 		t, h := j.tallies[name], j.spans[name]
 		t.P50 = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
--- a/internal/lab/model/fault.go
+++ b/internal/lab/model/fault.go
@@ -12,31 +12,47 @@
 
 // What a fault does.
 const (
-	Die     = "die"     // the process ends: connections are reset, new ones refused
-	Vanish  = "vanish"  // the machine is gone: nothing is heard, nothing reset
-	Hang    = "hang"    // takes parts and answers none
-	Slow    = "slow"    // works slower by a factor
-	Fail    = "fail"    // answers err at once
-	Full    = "busy"    // turns away
-	Pause   = "pause"   // stops the world: no work, no answer; connections stay
-	Drain   = "drain"   // the list says so; it is gone at the end, or serves on
-	Release = "release" // drains, ends and starts again, one after the other
-	Cut     = "cut"     // a way between sites carries nothing
-	Late    = "list-late"
-	Lie     = "list-lie"    // the list drops servers that are well
-	Mute    = "list-silent" // the list says nothing
-	Kill    = "kill-mixer"
-	Restart = "restart-mixer" // as planned: it ends what it has
+	Die       = "die"     // the process ends: connections are reset, new ones refused
+	Vanish    = "vanish"  // the machine is gone: nothing is heard, nothing reset
+	Hang      = "hang"    // takes parts and answers none
+	Slow      = "slow"    // works slower by a factor
+	Fail      = "fail"    // answers err at once
+	Full      = "busy"    // turns away
+	Pause     = "pause"   // stops the world: no work, no answer; connections stay
+	Drain     = "drain"   // the list says so; it is gone at the end, or serves on
+	Release   = "release" // drains, ends and starts again, one after the other
+	Cut       = "cut"     // a way between sites carries nothing
+	Late      = "list-late"
+	Lie       = "list-lie"     // the list drops servers that are well
+	Mute      = "list-silent"  // the list says nothing
+	Broken    = "list-down"    // calls to the list fail at once
+	Empty     = "list-empty"   // the list says that there is nobody
+	Reset     = "list-reset"   // its index begins anew
+	Elsewhere = "list-cell"    // the list names another cell for servers
+	Truncate  = "dns-truncate" // answers do not fit into a datagram
+	Junk      = "dns-junk"     // datagrams that answer nothing come before each answer
+	Switch    = "sources"      // the mixers' operator file names other sources, and they get SIGHUP
+	Kill      = "kill-mixer"
+	Restart   = "restart-mixer" // as planned: it ends what it has
 )
 
 // Kinds of faults, for those who read them.
-var FaultKinds = []string{Die, Vanish, Hang, Slow, Fail, Full, Pause, Drain, Release, Cut, Late, Lie, Mute, Kill, Restart}
+var FaultKinds = []string{Die, Vanish, Hang, Slow, Fail, Full, Pause, Drain, Release, Cut, Late, Lie, Mute, Broken, Empty, Reset, Elsewhere, Truncate, Junk, Switch, Kill, Restart}
 
 // OnMixers tells whether a fault is one of mixers, OnList of the list.
 func OnMixers(do string) bool { return do == Kill || do == Restart }
 
 // OnList tells whether a fault is one of the list as a whole.
-func OnList(do string) bool { return do == Late || do == Mute }
+func OnList(do string) bool {
+	switch do {
+	case Late, Mute, Broken, Empty, Reset, Truncate, Junk, Switch:
+		return true
+	}
+	return false
+}
+
+// ByList tells whether a fault is one of what the list says of servers.
+func ByList(do string) bool { return do == Drain || do == Lie || do == Elsewhere }
 
 // Fault is one fault of a script.
 type Fault struct {
@@ -57,6 +73,8 @@
 	From   int           // cut
 	To     int           // cut
 	Both   bool          // cut
+	Source string        // of the list's: which one; empty: all
+	Others []string      // sources: those in force while it holds
 	Extra  time.Duration // list-late: so much later; release: from the drain to the end of the process
 }
 
--- a/internal/lab/model/list.go
+++ b/internal/lab/model/list.go
@@ -12,6 +12,7 @@
 	Serving Standing = iota
 	Draining
 	Deleted
+	Sick // its checks are critical
 )
 
 // Entry is news of one server.
@@ -19,20 +20,26 @@
 	Server   int
 	Standing Standing
 	Since    time.Duration // its last start; below 0: long ago
+	Shift    int           // added to its cell: a lie
 }
 
 // List is a discovery service's view. It knows of processes that run, drain or are
 // gone; that one has died it notes after Notice.
 type List struct {
+	Name   string
+	Checks bool // a process that has ended stays named, as sick
+	Drains bool // drains that are not told to one source by name are told here too
 	Sched  Sched
 	Lag    time.Duration // until news is told
 	Jitter time.Duration // mean of an exponential added to it
 	Notice time.Duration
 	Tell   func([]Entry)
+	Turn   func(c Change) // a fault of the whole list that its stand-in has to show; nil: none does
 	Luck   func() float64 // exponential, mean 1
 
 	now   []Entry // as it would be told
 	lies  map[int]int
+	moved map[int]int
 	drain map[int]int
 	gone  map[int]bool
 	extra time.Duration
@@ -43,7 +50,7 @@
 
 // Begin starts a list of so many servers, all serving for long.
 func (l *List) Begin(servers int) {
-	l.lies, l.drain, l.gone = make(map[int]int), make(map[int]int), make(map[int]bool)
+	l.lies, l.drain, l.gone, l.moved = make(map[int]int), make(map[int]int), make(map[int]bool), make(map[int]int)
 	for i := range servers {
 		l.now = append(l.now, Entry{Server: i, Since: -1})
 	}
@@ -71,6 +78,9 @@
 
 // Strike has a change take hold of the list, or let it go.
 func (l *List) Strike(c Change) {
+	if c.Source != "" && c.Source != l.Name || c.Do == Drain && c.Source == "" && !l.Drains {
+		return
+	}
 	step := 1
 	if !c.On {
 		step = -1
@@ -82,9 +92,20 @@
 	case Lie:
 		l.lies[c.Target] += step
 		l.put(c.Target)
+	case Elsewhere:
+		l.moved[c.Target] += step
+		l.put(c.Target)
+	case Broken, Empty, Reset, Truncate, Junk:
+		if l.Turn != nil {
+			l.Turn(c)
+		}
 	case Late:
 		l.extra += time.Duration(step) * c.Extra
 	case Mute:
+		if l.Turn != nil {
+			l.Turn(c)
+			return
+		}
 		if l.mute += step; l.mute == 0 {
 			held := l.held
 			l.held = nil
@@ -97,11 +118,16 @@
 func (l *List) put(server int) {
 	e := Entry{Server: server, Since: l.now[server].Since}
 	switch {
+	case l.gone[server] && l.Checks && l.lies[server] == 0:
+		e.Standing = Sick
 	case l.lies[server] > 0 || l.gone[server]:
 		e.Standing = Deleted
 	case l.drain[server] > 0:
 		e.Standing = Draining
 	}
+	if l.moved[server] > 0 {
+		e.Shift = 1
+	}
 	l.now[server] = e
 	if l.mute > 0 {
 		l.held = append(l.held, e)
--- a/internal/lab/real/host.go
+++ b/internal/lab/real/host.go
@@ -293,7 +293,10 @@
 			}
 			for _, p := range parts {
 				now := time.Now()
-				f := &flight{seen: h.r.j.Arrived(p.ID, h.name, now)}
+				f := &flight{seen: h.r.j.ArrivedFrom(c.d.mixer, p.ID, h.name, now)}
+				if !h.r.plan.Holds(h.i, p.Shard) {
+					h.r.j.Astray(p.ID, h.name)
+				}
 				h.mu.Lock()
 				c.come[p.ID] = f
 				h.mu.Unlock()
--- a/internal/lab/real/real.go
+++ b/internal/lab/real/real.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -57,20 +58,21 @@
 }
 
 type run struct {
-	plan  *scenario.Plan
-	opt   Options
-	dir   string
-	begin time.Time
-	j     *judge.Judge
-	hosts []*host
-	discs []*disco.Server // one for each mixer: addresses differ
-	muted []atomic.Int32
+	plan    *scenario.Plan
+	opt     Options
+	dir     string
+	begin   time.Time
+	j       *judge.Judge
+	hosts   []*host
+	stands  []*sources // one for each mixer: addresses differ
+	inForce []string   // of the sources, with [members]
+	muted   []atomic.Int32
 
 	netMu sync.Mutex
 	net   *model.Network
 
 	listMu sync.Mutex
-	list   *model.List
+	lists  []*model.List // one for each source
 
 	clientMu sync.Mutex
 	clients  *model.Clients
@@ -166,26 +168,10 @@
 		}
 		r.hosts = append(r.hosts, h)
 	}
-	r.list = p.NewList(clock{r.begin, &r.listMu})
-	r.list.Tell = r.tell
-	for n := range p.Mixers.Count {
-		var entries []disco.Entry
-		for _, e := range r.list.Whole() {
-			entries = append(entries, r.entry(n, e))
-		}
-		s, err := disco.Listen(entries)
-		if err != nil {
-			return err
-		}
-		s.Told = func(e disco.Entry, at time.Time) {
-			switch e.Status {
-			case "SERVING":
-				r.j.Told(e.Name, time.Time{})
-			case "DRAINING":
-				r.j.Told(e.Name, at)
-			}
-		}
-		r.discs = append(r.discs, s)
+	r.lists = p.NewLists(func(int) model.Sched { return clock{r.begin, &r.listMu} })
+	r.inForce = p.Members.Sources
+	if err := r.buildSources(); err != nil {
+		return err
 	}
 	for n := range p.Mixers.Count {
 		port, err := child.FreePort()
@@ -215,15 +201,6 @@
 	return out
 }
 
-// tell is the list's, under its lock.
-func (r *run) tell(news []model.Entry) {
-	for n, s := range r.discs {
-		for _, e := range news {
-			s.Put(r.entry(n, e))
-		}
-	}
-}
-
 func (r *run) start(m *mixer) error {
 	p := r.plan
 	set, err := p.MixerSettings()
@@ -231,10 +208,10 @@
 		return err
 	}
 	m.life++
-	config, err := json.Marshal(map[string]any{"name": fmt.Sprintf("lab%d", m.n), "listen": m.listen, "discovery": r.discs[m.n].Addr,
+	config, err := json.Marshal(map[string]any{"name": fmt.Sprintf("lab%d", m.n), "listen": m.listen, "discovery": r.stands[m.n].disco.Addr,
 		"seed":   fmt.Sprintf("%016x", p.MixerSeed(m.n, m.life)),
 		"limits": map[string]any{"cores": p.Mixers.Cores, "memory_mb": int64(p.Mixers.Memory >> 20), "sockets": p.Mixers.Sockets},
-		"known":  r.discs[m.n].Snapshot(), "settings": json.RawMessage(set)})
+		"known":  r.stands[m.n].disco.Snapshot(), "settings": json.RawMessage(set)})
 	if err != nil {
 		return err
 	}
@@ -243,8 +220,14 @@
 		return err
 	}
 	args := []string{"serve", "--config", file}
-	if r.opt.Operator != "" {
-		args = append(args, "--operator", r.opt.Operator)
+	operator := r.opt.Operator
+	if r.sourcesOn() {
+		if operator, err = r.operator(m.n, r.inForce); err != nil {
+			return err
+		}
+	}
+	if operator != "" {
+		args = append(args, "--operator", operator)
 	}
 	proc, err := child.Start(r.opt.Program, m.listen, filepath.Join(r.opt.Logs, fmt.Sprintf("mixer-%d.log", m.n)), nil, args...)
 	if err != nil {
@@ -294,6 +277,7 @@
 
 func (h *host) up() {
 	h.r.note("%s runs again", h.name)
+	h.r.j.Restarted(h.name, h.r.plan.Mixers.Count)
 	for _, d := range h.doors {
 		if d.mute == nil {
 			if err := d.open(); err != nil {
@@ -307,7 +291,9 @@
 func (r *run) listed(f func(*model.List)) {
 	r.listMu.Lock()
 	defer r.listMu.Unlock()
-	f(r.list)
+	for _, l := range r.lists {
+		f(l)
+	}
 }
 
 // ---- The run.
@@ -325,7 +311,9 @@
 		h.mu.Unlock()
 	}
 	r.listMu.Lock()
-	r.list.Sched = clock{r.begin, &r.listMu}
+	for _, l := range r.lists {
+		l.Sched = clock{r.begin, &r.listMu}
+	}
 	r.listMu.Unlock()
 	longest := time.Duration(0)
 	for _, c := range p.Classes {
@@ -376,6 +364,9 @@
 		return nil, err
 	}
 	r.asks.Wait()
+	if r.sourcesOn() {
+		r.beliefs()
+	}
 	if n := r.desks.Close(); n > 0 {
 		r.fail("%d answers came that nobody had asked for", n)
 	}
@@ -430,7 +421,10 @@
 	case c.Do == model.Kill, c.Do == model.Restart:
 		r.note("%v %d", c, c.Target)
 		r.life(c)
-	case c.Target < 0 || c.Do == model.Drain || c.Do == model.Lie:
+	case c.Do == model.Switch:
+		r.note("%v %s", c, strings.Join(c.Others, " "))
+		r.switchSources(c)
+	case c.Target < 0 || model.ByList(c.Do):
 		if c.Target >= 0 {
 			r.note("%v %s", c, r.hosts[c.Target].name)
 		} else {
@@ -697,8 +691,16 @@
 	for _, p := range procs {
 		p.Kill()
 	}
-	for _, s := range r.discs {
-		s.Close()
+	for _, s := range r.stands {
+		if s.disco != nil {
+			s.disco.Close()
+		}
+		if s.consul != nil {
+			s.consul.Close()
+		}
+		if s.dns != nil {
+			s.dns.Close()
+		}
 	}
 	for _, h := range r.hosts {
 		h.close()
--- /dev/null
+++ b/internal/lab/real/sources.go
@@ -0,0 +1,294 @@
+package real
+
+// Several sources of the list on real sockets: for each mixer a stand-in discovery,
+// Consul agent and DNS server, since a server's addresses differ from one mixer to the
+// next; and the operator file that names them. Where a scenario has no [members] there
+// is a discovery alone.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"saddleport/internal/control"
+	"saddleport/internal/inifile"
+	"saddleport/internal/lab/consulapi"
+	"saddleport/internal/lab/disco"
+	"saddleport/internal/lab/dnsserver"
+	"saddleport/internal/lab/model"
+	"saddleport/internal/source/consul"
+	"saddleport/internal/source/dnssrv"
+	"saddleport/internal/source/members"
+)
+
+const (
+	service  = "trips"
+	srvName  = "_trips._tcp.lab.example.org"
+	zoneName = ".lab.example.org"
+	junkEach = 12 // datagrams before each answer, under dns-junk
+)
+
+// sources are the stand-ins of one mixer. What is not among the scenario's sources is nil.
+type sources struct {
+	disco  *disco.Server
+	consul *consulapi.Server
+	dns    *dnsserver.Server
+}
+
+func (r *run) sourcesOn() bool { return len(r.plan.Members.Sources) > 0 }
+
+// buildSources starts the stand-ins of all mixers.
+func (r *run) buildSources() error {
+	for n := range r.plan.Mixers.Count {
+		s := &sources{}
+		r.stands = append(r.stands, s)
+		var err error
+		for _, l := range r.lists {
+			switch l.Name {
+			case "consul":
+				var all []consulapi.Instance
+				for _, e := range l.Whole() {
+					all = append(all, r.instance(n, e))
+				}
+				if s.consul, err = consulapi.Listen(service, all); err != nil {
+					return err
+				}
+				s.consul.Told = func(i consulapi.Instance, at time.Time) { r.j.ToldBy(n, "consul", i.ID, i.Maintenance, at) }
+			case "dns":
+				var all []dnsserver.Target
+				for _, e := range l.Whole() {
+					all = append(all, r.target(n, e))
+				}
+				if s.dns, err = dnsserver.Listen(srvName, uint32(r.plan.Source("dns").TTL/time.Second), all); err != nil {
+					return err
+				}
+				s.dns.Told = func(t dnsserver.Target, at time.Time) {
+					name, _, _ := strings.Cut(t.Name, ".")
+					r.j.ToldBy(n, "dns", name, strings.HasSuffix(t.Text, "state=draining"), at)
+				}
+			}
+		}
+		var entries []disco.Entry // the platform's is always there: the configuration names it
+		for _, l := range r.lists {
+			if l.Name == "list" {
+				for _, e := range l.Whole() {
+					entries = append(entries, r.entry(n, e))
+				}
+			}
+		}
+		if s.disco, err = disco.Listen(entries); err != nil {
+			return err
+		}
+		s.disco.Told = func(e disco.Entry, at time.Time) {
+			switch {
+			case e.Status == "DELETED": // neither lifts a drain nor is one
+			case r.sourcesOn():
+				r.j.ToldBy(n, "list", e.Name, e.Status == "DRAINING", at)
+			case e.Status == "SERVING":
+				r.j.Told(e.Name, time.Time{})
+			default:
+				r.j.Told(e.Name, at)
+			}
+		}
+	}
+	for _, l := range r.lists {
+		l.Tell = func(news []model.Entry) { r.tell(l.Name, news) }
+		if r.sourcesOn() {
+			l.Turn = func(c model.Change) { r.turn(l, c) }
+		}
+	}
+	return nil
+}
+
+func (r *run) instance(mixer int, e model.Entry) consulapi.Instance {
+	spec := &r.plan.Servers[e.Server]
+	i := consulapi.Instance{ID: spec.Name, Node: "node-" + spec.Name, Site: spec.Site, Kind: spec.Group, Address: r.hosts[e.Server].doors[mixer].addr,
+		Cell: (spec.Cell + e.Shift) % r.plan.Groups[0].Cells, Status: "passing", Maintenance: e.Standing == model.Draining}
+	if e.Standing == model.Sick {
+		i.Status = "critical"
+	}
+	if e.Since >= 0 {
+		i.Since = r.begin.Add(e.Since).UnixMilli()
+	}
+	return i
+}
+
+func (r *run) target(mixer int, e model.Entry) dnsserver.Target {
+	spec := &r.plan.Servers[e.Server]
+	host, port, _ := net.SplitHostPort(r.hosts[e.Server].doors[mixer].addr)
+	n, _ := strconv.Atoi(port)
+	since := int64(0)
+	if e.Since >= 0 {
+		since = r.begin.Add(e.Since).UnixMilli()
+	}
+	return dnsserver.Target{Name: spec.Name + zoneName, Addrs: []string{host}, Port: uint16(n),
+		Text: dnsserver.TextOf(spec.Name, spec.Site, spec.Group, (spec.Cell+e.Shift)%r.plan.Groups[0].Cells, e.Standing == model.Draining, since)}
+}
+
+// tell is a list's, under its lock: news of one source for all mixers.
+func (r *run) tell(source string, news []model.Entry) {
+	for n, s := range r.stands {
+		for _, e := range news {
+			name := r.plan.Servers[e.Server].Name
+			switch source {
+			case "consul":
+				if e.Standing == model.Deleted {
+					s.consul.Remove(name)
+				} else {
+					s.consul.Put(r.instance(n, e))
+				}
+			case "dns":
+				if e.Standing == model.Deleted {
+					s.dns.Remove(name + zoneName)
+				} else {
+					s.dns.Put(r.target(n, e))
+				}
+			default:
+				s.disco.Put(r.entry(n, e))
+			}
+		}
+	}
+}
+
+// turn has a fault take hold of a source as a whole, or let it go.
+func (r *run) turn(l *model.List, c model.Change) {
+	for n, s := range r.stands {
+		switch l.Name {
+		case "consul":
+			if c.Do == model.Reset {
+				if c.On {
+					s.consul.Reset()
+				}
+				continue
+			}
+			s.consul.Set(func(f *consulapi.Faults) {
+				switch c.Do {
+				case model.Mute:
+					f.Silent = c.On
+				case model.Broken:
+					f.NoLeader = c.On
+				case model.Empty:
+					f.Empty = c.On
+				}
+			})
+		case "dns":
+			s.dns.Set(func(f *dnsserver.Faults) {
+				switch c.Do {
+				case model.Mute:
+					f.Silent = c.On
+				case model.Broken:
+					f.Rcode = 0
+					if c.On {
+						f.Rcode = 2 // SERVFAIL
+					}
+				case model.Empty:
+					f.Empty = c.On
+				case model.Truncate:
+					f.Truncate = c.On
+				case model.Junk:
+					f.Storm = 0
+					if c.On {
+						f.Storm = junkEach
+					}
+				}
+			})
+		default:
+			switch c.Do {
+			case model.Mute, model.Broken:
+				s.disco.Mute(c.On, c.Do == model.Broken)
+			case model.Empty:
+				for _, e := range l.Whole() {
+					x := r.entry(n, e)
+					if c.On {
+						x.Status = "DELETED"
+					}
+					s.disco.Put(x)
+				}
+			}
+		}
+	}
+}
+
+// operator writes a mixer's operator file, with these sources in force.
+func (r *run) operator(n int, in []string) (string, error) {
+	s := r.stands[n]
+	var b strings.Builder
+	section := func(name string, of any) {
+		fmt.Fprintf(&b, "[%s]\n", name)
+		for _, f := range inifile.Fields(of) {
+			value := f.Value
+			switch value {
+			case "true":
+				value = "yes"
+			case "false":
+				value = "no"
+			}
+			fmt.Fprintf(&b, "%s = %s\n", f.Key, value)
+		}
+	}
+	m := r.plan.Members
+	m.Sources = in
+	fmt.Fprintf(&b, "[control]\nsocket = %s\n", r.socket(n))
+	section("members", &m)
+	if s.consul != nil {
+		var c consul.Settings
+		inifile.Default(&c)
+		c.Addrs, c.Service, c.Wait = []string{s.consul.Addr}, service, r.plan.Source("consul").Wait
+		section("consul", &c)
+	}
+	if s.dns != nil {
+		var d dnssrv.Settings
+		inifile.Default(&d)
+		d.Names, d.Resolvers = []string{srvName}, []string{s.dns.Addr}
+		section("dns", &d)
+	}
+	file := filepath.Join(r.dir, fmt.Sprintf("operator-%d.ini", n))
+	return file, os.WriteFile(file, []byte(b.String()), 0o600)
+}
+
+func (r *run) socket(n int) string { return filepath.Join(r.dir, fmt.Sprintf("s%d", n)) }
+
+// switchSources puts other sources in force at every mixer, by SIGHUP.
+func (r *run) switchSources(c model.Change) {
+	in := r.plan.Members.Sources
+	if c.On {
+		in = c.Others
+	}
+	r.mixMu.Lock()
+	defer r.mixMu.Unlock()
+	r.inForce = in
+	for _, m := range r.mixers {
+		if m.proc == nil {
+			continue
+		}
+		if _, err := r.operator(m.n, in); err != nil {
+			go r.fail("the operator file of mixer %d: %v", m.n, err)
+			continue
+		}
+		m.proc.Signal(syscall.SIGHUP)
+	}
+}
+
+// beliefs asks every mixer, at the end, what its merge has done.
+func (r *run) beliefs() {
+	for _, m := range r.mixers {
+		var rep members.Report
+		if m.proc == nil {
+			continue
+		}
+		if err := control.Ask(r.socket(m.n), &rep, "members", "show"); err != nil {
+			r.fail("mixer %d does not tell its members: %v", m.n, err)
+			continue
+		}
+		rep.Members = nil
+		text, _ := json.Marshal(rep.Sources)
+		r.note("mixer %d: %d ready, %d draining, %d withheld; %d changes, %d returns held back; sources %s", m.n, rep.Ready, rep.Draining, rep.Withheld,
+			rep.Changes, rep.Damped, text)
+	}
+}
--- a/internal/lab/record/print.go
+++ b/internal/lab/record/print.go
@@ -55,7 +55,7 @@
 	for _, x := range []struct {
 		name string
 		n    int
-	}{{"drained", v.Drained}, {"capped", v.Capped}, {"pushed", v.Pushed}} {
+	}{{"drained", v.Drained}, {"capped", v.Capped}, {"pushed", v.Pushed}, {"astray", v.Astray}} {
 		if x.n > 0 {
 			fmt.Fprintf(&more, " %s=%d", x.name, x.n)
 		}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -77,6 +77,7 @@
 	Drained   int64   `parquet:"drained"`
 	Capped    int64   `parquet:"capped"`
 	Pushed    int64   `parquet:"pushed"`
+	Astray    int64   `parquet:"astray"`
 }
 
 // Class is what became of one class.
@@ -247,7 +248,7 @@
 	}
 	s.P50, s.P99, s.P999 = all.ValueAtQuantile(50), all.ValueAtQuantile(99), all.ValueAtQuantile(99.9)
 	s.Queries, s.Lost, s.Late, s.Doubled, s.Wrong = int64(v.Queries), int64(v.Lost), int64(v.Late), int64(v.Doubled), int64(v.Wrong)
-	s.Drained, s.Capped, s.Pushed = int64(v.Drained), int64(v.Capped), int64(v.Pushed)
+	s.Drained, s.Capped, s.Pushed, s.Astray = int64(v.Drained), int64(v.Capped), int64(v.Pushed), int64(v.Astray)
 	for _, t := range v.Classes {
 		s.Parts += int64(t.Parts)
 	}
--- a/internal/lab/scenario/file.go
+++ b/internal/lab/scenario/file.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"saddleport/internal/inifile"
+	"saddleport/internal/source/members"
 )
 
 // Main is the section [scenario].
@@ -153,10 +154,23 @@
 	Notice time.Duration `ini:"notice" default:"3s" range:"0s..10m" help:"until it is known that a process has ended"`
 }
 
+// Source is a section [source NAME]: how one of the [members] sources tells. It has
+// the section's name from the operator file: list, consul, dns.
+type Source struct {
+	Name   string
+	Lag    time.Duration `ini:"lag" default:"500ms" range:"0s..10m" help:"until news is there"`
+	Jitter time.Duration `ini:"jitter" default:"100ms" range:"0s..1m" help:"mean of an exponential added to it"`
+	Notice time.Duration `ini:"notice" default:"3s" range:"0s..10m" help:"until it is known that a process has ended"`
+	TTL    time.Duration `ini:"ttl" default:"2s" range:"1s..1h" help:"dns: lifetime of records"`
+	Checks bool          `ini:"checks" default:"no" help:"a process that has ended stays, as critical"`
+	Drains bool          `ini:"drains" default:"yes" help:"it tells of drains"`
+	Wait   time.Duration `ini:"wait" default:"2s" range:"100ms..1m" help:"consul: how long a call waits"`
+}
+
 // Fault is a section [fault NAME].
 type Fault struct {
 	Name   string
-	Do     string        `ini:"do" need:"yes" oneof:"die vanish hang slow fail busy pause drain release cut list-late list-lie list-silent kill-mixer restart-mixer"`
+	Do     string        `ini:"do" need:"yes" oneof:"die vanish hang slow fail busy pause drain release cut list-late list-lie list-silent list-down list-empty list-reset list-cell dns-truncate dns-junk sources kill-mixer restart-mixer"`
 	At     time.Duration `ini:"at" need:"yes" range:"0s..24h"`
 	For    time.Duration `ini:"for" default:"0s" range:"0s..24h" help:"0s: to the end"`
 	Every  time.Duration `ini:"every" default:"0s" range:"0s..24h" help:"again and again; 0s: once"`
@@ -170,6 +184,8 @@
 	Factor float64       `ini:"factor" default:"4" range:"1..10000" help:"slow"`
 	Warm   bool          `ini:"warm" default:"no" help:"die, vanish, release: it comes back warm"`
 	Both   bool          `ini:"both" default:"yes" help:"cut: both ways"`
+	Source string        `ini:"source" help:"list-..., drain: which of the [members] sources; empty: all"`
+	To     []string      `ini:"to" help:"sources: which are in force while it holds, the highest-ranked first"`
 	Extra  time.Duration `ini:"extra" default:"3s" range:"0s..10m" help:"list-late: so much later; release: from the drain to the end of the process"`
 }
 
@@ -193,6 +209,8 @@
 	Load     Load
 	Bursts   []Burst
 	List     List
+	Members  members.Settings
+	Sources  []Source // those that [source NAME] sections describe
 	Faults   []Fault
 	Expect   Expect
 
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -25,7 +25,7 @@
 
 func decode(file string, doc *inifile.Doc) (*Scenario, error) {
 	s := &Scenario{File: file, doc: doc}
-	for _, into := range []any{&s.Mixers, &s.Settings, &s.Network, &s.Clients, &s.Load, &s.List, &s.Expect} {
+	for _, into := range []any{&s.Mixers, &s.Settings, &s.Network, &s.Clients, &s.Load, &s.List, &s.Members, &s.Expect} {
 		inifile.Default(into)
 	}
 	main := Group{Name: "fleet"}
@@ -56,6 +56,12 @@
 			}
 		case "list":
 			err = sec.Decode(&s.List)
+		case "members":
+			if err = sec.Decode(&s.Members); err == nil {
+				if bad := s.Members.Check(); bad != nil {
+					err = sec.Fault("", "%v", bad)
+				}
+			}
 		case "expect":
 			err = sec.Decode(&s.Expect)
 		default:
@@ -91,6 +97,10 @@
 				b := Burst{Name: sec.Label}
 				err = sec.Decode(&b)
 				s.Bursts = append(s.Bursts, b)
+			case "source":
+				o := Source{Name: sec.Label}
+				err = sec.Decode(&o)
+				s.Sources = append(s.Sources, o)
 			case "fault":
 				f := Fault{Name: sec.Label}
 				err = sec.Decode(&f)
@@ -118,7 +128,7 @@
 }
 
 func unknown(sec *inifile.Section) error {
-	return sec.Fault("", "no such section; there are: include, vary, scenario, mixers, settings, fleet, group NAME, network, link A B, clients, class NAME, load, burst NAME, list, fault NAME, expect")
+	return sec.Fault("", "no such section; there are: include, vary, scenario, mixers, settings, fleet, group NAME, network, link A B, clients, class NAME, load, burst NAME, list, members, source NAME, fault NAME, expect")
 }
 
 func (c *Class) check(sec *inifile.Section) error {
@@ -207,8 +217,32 @@
 			return at["burst "+b.Name].Fault("class", "there is no class %q", b.Class)
 		}
 	}
+	for _, o := range s.Sources {
+		if !slices.Contains(s.Lists(), o.Name) {
+			return at["source "+o.Name].Fault("", "%s is none of the sources: %s", o.Name, strings.Join(s.Lists(), ", "))
+		}
+	}
 	for _, x := range s.Faults {
 		sec := at["fault "+x.Name]
+		if x.Source != "" && !slices.Contains(s.Lists(), x.Source) {
+			return sec.Fault("source", "%s is none of the sources: %s", x.Source, strings.Join(s.Lists(), ", "))
+		}
+		if (x.Do == model.Truncate || x.Do == model.Junk) && x.Source != "dns" {
+			return sec.Fault("source", "%s is a fault of dns", x.Do)
+		}
+		if x.Do == model.Reset && x.Source != "consul" {
+			return sec.Fault("source", "%s is a fault of consul", x.Do)
+		}
+		if x.Do == model.Switch {
+			if len(x.To) == 0 || len(s.Members.Sources) == 0 {
+				return sec.Fault("to", "wants sources, and [members] sources must be on")
+			}
+			for _, to := range x.To {
+				if !slices.Contains(s.Lists(), to) {
+					return sec.Fault("to", "%s is none of the sources: %s", to, strings.Join(s.Lists(), ", "))
+				}
+			}
+		}
 		if x.Class != "" && !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == x.Class }) {
 			return sec.Fault("class", "there is no class %q", x.Class)
 		}
@@ -318,7 +352,7 @@
 
 func (s *Scenario) fault(x Fault, servers []model.Spec) (*model.Fault, error) {
 	f := &model.Fault{Name: x.Name, Do: x.Do, At: x.At, For: x.For, Every: x.Every, Times: x.Times, Chance: x.Chance, Share: x.Share, Apart: x.Apart,
-		Class: x.Class, Part: x.Part, Factor: x.Factor, Warm: x.Warm, Both: x.Both, Extra: x.Extra}
+		Class: x.Class, Part: x.Part, Factor: x.Factor, Warm: x.Warm, Both: x.Both, Source: x.Source, Others: x.To, Extra: x.Extra}
 	words := strings.Fields(x.Who)
 	if len(words) == 0 {
 		words = []string{"all"}
@@ -400,11 +434,42 @@
 	return model.Retry{Most: c.Tries, Pause: c.Pause, Spread: c.Spread, Heed: c.Heed, Mark: c.Mark, Failed: c.Failed, Grow: c.Grow, Least: c.Least}
 }
 
-// NewList is the plan's list; Tell is the drive's.
-func (p *Plan) NewList(s model.Sched) *model.List {
-	l := &model.List{Sched: s, Lag: p.List.Lag, Jitter: p.List.Jitter, Notice: p.List.Notice, Luck: model.Rand(p.Draw, "list").ExpFloat64}
-	l.Begin(len(p.Servers))
-	return l
+// Holds tells whether a server holds a shard.
+func (p *Plan) Holds(server, shard int) bool {
+	g := p.Groups[0]
+	return ((p.Servers[server].Cell-shard)%g.Cells+g.Cells)%g.Cells < g.Width
+}
+
+// Lists are the sources of the list: the platform's alone, or those of [members].
+func (s *Scenario) Lists() []string {
+	if len(s.Members.Sources) > 0 {
+		return s.Members.Sources
+	}
+	return []string{"list"}
+}
+
+// Source is how a source tells.
+func (s *Scenario) Source(name string) Source {
+	if i := slices.IndexFunc(s.Sources, func(o Source) bool { return o.Name == name }); i >= 0 {
+		return s.Sources[i]
+	}
+	o := Source{Name: name}
+	inifile.Default(&o)
+	if name == "list" {
+		o.Lag, o.Jitter, o.Notice = s.List.Lag, s.List.Jitter, s.List.Notice
+	}
+	return o
+}
+
+// NewLists are the plan's lists, one for each source; Tell and Turn are the drive's.
+func (p *Plan) NewLists(s func(n int) model.Sched) (out []*model.List) {
+	for i, name := range p.Lists() {
+		o := p.Source(name)
+		l := &model.List{Name: name, Checks: o.Checks, Drains: o.Drains, Sched: s(i), Lag: o.Lag, Jitter: o.Jitter, Notice: o.Notice, Luck: model.Rand(p.Draw, name).ExpFloat64}
+		l.Begin(len(p.Servers))
+		out = append(out, l)
+	}
+	return out
 }
 
 // MixerSeed is the seed of a mixer's decisions in its life of that number.
--- a/internal/lab/sweep/sweep.go
+++ b/internal/lab/sweep/sweep.go
@@ -274,7 +274,7 @@
 			mean += s.Goodput / float64(len(group))
 			least, most = min(least, s.Goodput), max(most, s.Goodput)
 			asked, refused, failed, queries, parts = asked+s.Asked, refused+s.Refused, failed+s.Failed, queries+s.Queries, parts+s.Parts
-			broken += s.Lost + s.Late + s.Doubled + s.Wrong + s.Drained + s.Capped + s.Pushed
+			broken += s.Lost + s.Late + s.Doubled + s.Wrong + s.Drained + s.Capped + s.Pushed + s.Astray
 			p99 = append(p99, s.P99)
 			if len(o.Unmet) > 0 {
 				unmet++
--- a/internal/lab/virtual/link.go
+++ b/internal/lab/virtual/link.go
@@ -52,7 +52,7 @@
 // Send starts attempts.
 func (m *mixer) Send(attempts []*exchange.Attempt) {
 	for _, a := range attempts {
-		i, known := m.w.Index[a.Server]
+		i, known := m.w.server(a.Server)
 		if stop, told := m.stops[i]; !known || told && m.w.loop.Now() >= stop {
 			m.x.Ended(a, choice.NotSent, nil, "")
 			continue
@@ -63,7 +63,8 @@
 
 // GiveUp ends the wait for an attempt, once the server has been told.
 func (m *mixer) GiveUp(a *exchange.Attempt, v choice.Verdict) {
-	l := m.links[m.w.Index[a.Server]]
+	i, _ := m.w.server(a.Server)
+	l := m.links[i]
 	if l == nil {
 		return
 	}
@@ -104,7 +105,8 @@
 
 // Probe tests a server.
 func (m *mixer) Probe(server string) {
-	w, i, life, begun := m.w, m.w.Index[server], m.life, m.w.loop.Now()
+	w, life, begun := m.w, m.life, m.w.loop.Now()
+	i, _ := w.server(server)
 	end := func(after time.Duration, v choice.Verdict) {
 		w.loop.Post(after, func() {
 			if m.life == life && m.x != nil {
@@ -126,7 +128,8 @@
 
 // Release closes the idle connections to a server.
 func (m *mixer) Release(server string) {
-	if l := m.links[m.w.Index[server]]; l != nil && len(l.out) == 0 {
+	i, _ := m.w.server(server)
+	if l := m.links[i]; l != nil && len(l.out) == 0 {
 		l.open = false
 		l.gen++
 	}
@@ -212,7 +215,10 @@
 	m, w := l.m, l.m.w
 	s := w.Servers[l.server]
 	class := a.Text
-	f := &flight{l: l, a: a, gen: l.gen, sentAt: w.loop.Now(), seen: w.j.Arrived(a.PartID, a.Server, w.time())}
+	f := &flight{l: l, a: a, gen: l.gen, sentAt: w.loop.Now(), seen: w.j.ArrivedFrom(m.n, a.PartID, s.Name, w.time())}
+	if !w.plan.Holds(l.server, a.Shard) {
+		w.j.Astray(a.PartID, s.Name)
+	}
 	ask, rest, _ := strings.Cut(a.PartID, "-")
 	_, shard, _ := strings.Cut(rest, ".")
 	f.job = model.Job{ID: a.PartID, Ask: ask, Class: class, Shard: a.Shard, Work: w.Work[class].Of(ask, shard), Until: a.Until.Sub(epoch),
--- a/internal/lab/virtual/mixer.go
+++ b/internal/lab/virtual/mixer.go
@@ -27,6 +27,7 @@
 	asks    map[string]*ask
 	links   map[int]*link
 	stops   map[int]time.Duration // from when on nothing may go to a server
+	merge   *merging              // nil: there is one source
 
 	alarm   *event.Timer
 	alarmAt time.Duration
@@ -95,6 +96,9 @@
 		leaves = wrap(m.n, leaves, m.x)
 	}
 	m.x.Attach(leaves)
+	if w.sourcesOn() {
+		return m.merges()
+	}
 	m.hear(w.whole(choice.Cached))
 	return nil
 }
@@ -221,21 +225,26 @@
 		if m.life != life || m.x == nil {
 			return
 		}
-		named := make(map[int]bool, len(l.Servers))
-		for _, row := range l.Servers {
-			i := m.w.Index[row.ID]
-			named[i] = true
-			m.mayStart(i, row.State == choice.Ready)
-		}
-		if l.Form != choice.Delta {
-			for i := range m.w.Servers {
-				if !named[i] {
-					m.mayStart(i, false)
-				}
+		m.hears(l)
+	})
+}
+
+// hears takes a list for the links and hands it to the exchange.
+func (m *mixer) hears(l choice.List) {
+	named := make(map[int]bool, len(l.Servers))
+	for _, row := range l.Servers {
+		i, _ := m.w.server(row.ID)
+		named[i] = true
+		m.mayStart(i, row.State == choice.Ready)
+	}
+	if l.Form != choice.Delta {
+		for i := range m.w.Servers {
+			if !named[i] {
+				m.mayStart(i, false)
 			}
 		}
-		m.x.Listed(l)
-	})
+	}
+	m.x.Listed(l)
 }
 
 // mayStart notes from when on nothing may start on a server.
@@ -258,7 +267,9 @@
 func (m *mixer) Fetch() {
 	life := m.life
 	m.w.loop.Post(m.w.near(m), func() {
-		if m.life == life && m.x != nil {
+		if m.life == life && m.x != nil && m.merge != nil {
+			m.known()
+		} else if m.life == life && m.x != nil {
 			m.hear(m.w.whole(choice.Full))
 		}
 	})
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -97,9 +98,11 @@
 	set     settings.Settings
 	sites   []int // of the servers
 	mixers  []*mixer
-	fronts  []int // mixers that the front deals queries to
-	vanish  []int // faults that keep a server's machine away
-	list    *model.List
+	fronts  []int         // mixers that the front deals queries to
+	vanish  []int         // faults that keep a server's machine away
+	lists   []*model.List // [0] alone without [members]
+	sources []*source     // with [members]
+	inForce []string      // of these
 	version int64
 	clients *model.Clients
 	j       *judge.Judge
@@ -170,8 +173,12 @@
 	w.Reaches = func(mixer, server int) bool {
 		return w.vanish[server] == 0 && w.net.Open(w.mixers[mixer].site, w.sites[server]) && w.net.Open(w.sites[server], w.mixers[mixer].site)
 	}
-	w.list = p.NewList(sched{w.loop})
-	w.list.Tell = w.tell
+	w.lists = p.NewLists(func(int) model.Sched { return sched{w.loop} })
+	if w.inForce = p.Members.Sources; w.sourcesOn() {
+		w.buildSources()
+	} else {
+		w.lists[0].Tell = w.tell
+	}
 	for n := range p.Mixers.Count {
 		m := &mixer{w: w, n: n, site: w.net.Site(p.MixerSite(n))}
 		w.mixers = append(w.mixers, m)
@@ -280,13 +287,18 @@
 		default:
 			m.leave()
 		}
-	case c.Target < 0 || c.Do == model.Drain || c.Do == model.Lie:
+	case c.Do == model.Switch:
+		w.note("%v %s", c, strings.Join(c.Others, " "))
+		w.reconfigure(c)
+	case c.Target < 0 || model.ByList(c.Do):
 		if c.Target >= 0 {
 			w.note("%v %s", c, w.Servers[c.Target].Name)
 		} else {
 			w.note("%v", c)
 		}
-		w.list.Strike(c)
+		for _, l := range w.lists {
+			l.Strike(c)
+		}
 	default:
 		s := w.Servers[c.Target]
 		w.note("%v %s", c, s.Name)
@@ -303,7 +315,9 @@
 
 // down: a server's process has ended.
 func (w *world) down(server int) {
-	w.list.Down(server)
+	for _, l := range w.lists {
+		l.Down(server)
+	}
 	for _, m := range w.mixers {
 		if l := m.links[server]; l != nil {
 			l.serverGone()
@@ -313,7 +327,10 @@
 
 func (w *world) up(server int) {
 	w.note("%s runs again", w.Servers[server].Name)
-	w.list.Up(server)
+	w.j.Restarted(w.Servers[server].Name, len(w.mixers))
+	for _, l := range w.lists {
+		l.Up(server)
+	}
 	for _, m := range w.mixers {
 		if l := m.links[server]; l != nil {
 			l.serverBack()
@@ -359,7 +376,7 @@
 // whole is the list as discovery has it.
 func (w *world) whole(form choice.Form) choice.List {
 	l := choice.List{Form: form, Version: w.version}
-	for _, e := range w.list.Whole() {
+	for _, e := range w.lists[0].Whole() {
 		if e.Standing != model.Deleted {
 			l.Servers = append(l.Servers, w.row(e))
 		}
--- a/internal/source/consul/consul_test.go
+++ b/internal/source/consul/consul_test.go
@@ -102,10 +102,16 @@
 	b := instance("b", 4)
 	b.Maintenance = true
 	srv.Put(b)
-	h.until(t, "a drain", func(o membership.Observation) bool { c := named(o, "b"); return c != nil && c.Drain && c.Health == membership.Passing })
+	h.until(t, "a drain", func(o membership.Observation) bool {
+		c := named(o, "b")
+		return c != nil && c.Drain && c.Health == membership.Passing
+	})
 	b.Maintenance, b.Status, b.Tags = false, "critical", []string{"draining"}
 	srv.Put(b)
-	h.until(t, "critical", func(o membership.Observation) bool { c := named(o, "b"); return c != nil && c.Drain && c.Health == membership.Critical })
+	h.until(t, "critical", func(o membership.Observation) bool {
+		c := named(o, "b")
+		return c != nil && c.Drain && c.Health == membership.Critical
+	})
 	srv.Remove("b")
 	h.until(t, "gone", func(o membership.Observation) bool { return o.Whole && named(o, "b") == nil && named(o, "a") != nil })
 	stop()
--- a/internal/source/dnssrv/dnssrv_test.go
+++ b/internal/source/dnssrv/dnssrv_test.go
@@ -111,7 +111,10 @@
 	drained := target("s-2", 4, "127.0.0.2")
 	drained.Text = dnsserver.TextOf("s-2", "zarqa", "std-2c", 4, true, 7)
 	srv.Put(drained)
-	h.until(t, "a drain", func(o membership.Observation) bool { c := named(o, "s-2"); return c != nil && c.Drain && c.Since == 7000 })
+	h.until(t, "a drain", func(o membership.Observation) bool {
+		c := named(o, "s-2")
+		return c != nil && c.Drain && c.Since == 7000
+	})
 	srv.Remove("s-2.zarqa.example.org")
 	h.until(t, "gone", func(o membership.Observation) bool { return o.Whole && usable(o, "s-1") && named(o, "s-2") == nil })
 	stop()
--- a/internal/source/members/members.go
+++ b/internal/source/members/members.go
@@ -88,6 +88,7 @@
 	mu      sync.Mutex
 	core    *membership.Members
 	asked   bool // the decisions wait for a list
+	begun   bool // the decisions have had a whole list
 	heard   bool // some source has answered
 	rows    *Rows
 	version int64
@@ -130,7 +131,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Service{core: core, cells: cells, to: to, epoch: time.Now(), rows: NewRows()}, nil
+	s := &Service{core: core, cells: cells, to: to, epoch: time.Now()}
+	s.rows = NewRows(s.clock())
+	return s, nil
 }
 
 // clock is the exchange's: Unix time at the start, and monotonic from there.
@@ -195,12 +198,12 @@
 		s.floored = s.core.Floored
 		log.Warn("member-floor", "on", s.floored)
 	}
-	if rows, addrs := s.rows.Delta(changed); s.asked && s.heard {
-		s.asked = false
+	if rows, addrs := s.rows.Delta(now, changed); s.asked && s.heard {
+		s.asked, s.begun = false, true
 		s.version++
-		list, all := s.rows.Whole(s.core.All())
+		list, all := s.rows.Whole(now, s.core.All())
 		s.to.Told(choice.List{Form: choice.Full, Version: s.version, Servers: list}, all)
-	} else if len(rows) > 0 {
+	} else if len(rows) > 0 && s.begun {
 		s.version++
 		s.to.Told(choice.List{Form: choice.Delta, Version: s.version, Servers: rows}, addrs)
 	}
@@ -253,8 +256,17 @@
 type Rows struct {
 	told  map[string]row
 	cells map[string]int
+	until membership.Micros // servers that appear before this have run for long, unless a source says when they started
 }
 
+// settleTime is how long after its start a mixer hears of servers for the first time
+// that are not new: its sources answer one after the other, and first signs take time.
+const settleTime = 5 * time.Second
+
+// longAgo is a start that the decisions take for one of long ago. With none they
+// would take a server that appears among changes for one that has just started.
+const longAgo = 1
+
 // mostCells bounds the names whose first cell is held.
 const mostCells = 1 << 16
 
@@ -265,9 +277,11 @@
 }
 
 // NewRows returns rows of which nothing has been told.
-func NewRows() *Rows { return &Rows{told: make(map[string]row), cells: make(map[string]int)} }
+func NewRows(now membership.Micros) *Rows {
+	return &Rows{told: make(map[string]row), cells: make(map[string]int), until: now + settleTime.Microseconds()}
+}
 
-func (r *Rows) of(m membership.Member) row {
+func (r *Rows) of(now membership.Micros, m membership.Member) row {
 	out := row{id: m.Name, addrs: m.Addresses, Server: choice.Server{Zone: m.Site, Kind: m.Kind, Cell: m.Cell, Scale: m.Weight, UpSince: m.Since}}
 	if out.Scale <= 0 {
 		out.Scale = 1
@@ -287,17 +301,20 @@
 	if !known || first != m.Cell {
 		out.id = fmt.Sprintf("%s~%d", m.Name, m.Cell)
 	}
+	if was, had := r.told[m.Name]; out.UpSince == 0 && (now < r.until || had && was.UpSince == longAgo) {
+		out.UpSince = longAgo
+	}
 	out.ID = out.id
 	return out
 }
 
 // Delta are the rows that members which changed make; a row that says what was told
 // is none.
-func (r *Rows) Delta(changed []membership.Member) (list []choice.Server, addrs targets.Addrs) {
+func (r *Rows) Delta(at membership.Micros, changed []membership.Member) (list []choice.Server, addrs targets.Addrs) {
 	addrs = make(targets.Addrs)
 	for _, m := range changed {
 		was, known := r.told[m.Name]
-		now := r.of(m)
+		now := r.of(at, m)
 		if now.State == choice.Gone {
 			delete(r.told, m.Name)
 			if known {
@@ -320,10 +337,10 @@
 }
 
 // Whole are the rows of all members, which now count as told.
-func (r *Rows) Whole(all []membership.Member) (list []choice.Server, addrs targets.Addrs) {
+func (r *Rows) Whole(at membership.Micros, all []membership.Member) (list []choice.Server, addrs targets.Addrs) {
 	addrs = make(targets.Addrs)
 	for _, m := range all {
-		if now := r.of(m); now.State != choice.Gone {
+		if now := r.of(at, m); now.State != choice.Gone {
 			r.told[m.Name] = now
 			list = append(list, now.Server)
 			addrs[now.id] = now.addrs
