--- a/cmd/saddlelab/main.go
+++ b/cmd/saddlelab/main.go
@@ -17,6 +17,7 @@
 	"saddleport/internal/lab/drill"
 	"saddleport/internal/lab/hookcost"
 	"saddleport/internal/lab/mapcost"
+	"saddleport/internal/lab/membercost"
 	"saddleport/internal/lab/scenario"
 	"saddleport/internal/lab/show"
 )
@@ -109,6 +110,23 @@
 					}
 					return t.Print(os.Stdout)
 				}},
+			{Name: "members-cost", Usage: "measure the merge of sources by the size of the fleet", Flags: []cli.Flag{asJSON,
+				&cli.StringFlag{Name: "chart", Usage: "draw a chart into this `FILE` (.png or .svg)"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					t, err := membercost.Measure([]int{100, 300, 1000, 5000, 10000}, os.Stderr)
+					if err != nil {
+						return err
+					}
+					if file := c.String("chart"); file != "" {
+						if err := t.Chart(file); err != nil {
+							return err
+						}
+					}
+					if c.Bool("json") {
+						return encode(t)
+					}
+					return t.Print(os.Stdout)
+				}},
 		},
 	}
 	root.Commands = append(root.Commands, emulatorCommands(program, asJSON)...)
--- a/internal/back/race_test.go
+++ b/internal/back/race_test.go
@@ -26,7 +26,8 @@
 	t     *testing.T
 	mu    sync.Mutex
 	parts map[string][]string // by id: the addresses that it came to
-	greet map[string]func()   // before a probe is answered there; nil: it never is
+	hold  chan struct{}       // nil: parts are answered at once; else once it is closed
+	seen  chan string         // where held parts arrived
 }
 
 func (s *stand) listen(network, addr string, greet func()) string {
@@ -71,7 +72,12 @@
 			for _, p := range parts {
 				s.mu.Lock()
 				s.parts[p.ID] = append(s.parts[p.ID], at)
+				hold := s.hold
 				s.mu.Unlock()
+				if hold != nil {
+					s.seen <- at
+					<-hold
+				}
 				nc.Write(frame.Append(nil, 'A', frame.AppendAnswer(nil, frame.Answer{ID: p.ID, End: "ok", Report: "-", Value: []byte("v")})))
 			}
 		}
@@ -180,14 +186,30 @@
 	}
 }
 
-// A server that moves while parts are out: what is out comes back, what is new goes
-// to the new address.
+// A server that is registered under its name with another address while parts are out:
+// what is out is answered where it is, what is new goes to the new address, and each
+// arrives once.
 func TestMoves(t *testing.T) {
 	s := newStand(t)
 	one, two := s.listen("tcp4", "127.0.0.1:0", func() {}), s.listen("tcp4", "127.0.0.1:0", func() {})
 	b, x := mixer(t, []string{one}, 0)
-	require.Equal(t, map[string]int{one: 10}, s.ask(b, x, 10))
+	s.hold, s.seen = make(chan struct{}), make(chan string, 8)
+	finals := make(chan exchange.Final, 8)
+	take := func(i int) {
+		x.Take(&exchange.Query{ID: fmt.Sprintf("held%012x", i), Class: "book", Text: "t", TakenAt: time.Now(), Patience: 20 * time.Second,
+			Parts: []exchange.Part{{Shard: 0, Weight: 1}}, Done: func(f exchange.Final) { finals <- f }})
+	}
+	take(0)
+	require.Equal(t, one, <-s.seen)
 	b.Told(choice.List{Form: choice.Delta, Version: 2, Servers: []choice.Server{{ID: "s", State: choice.Ready, Scale: 1}}}, targets.Addrs{"s": {two}})
-	s.parts = make(map[string][]string)
-	require.Equal(t, map[string]int{two: 10}, s.ask(b, x, 10))
+	take(1)
+	require.Equal(t, two, <-s.seen)
+	close(s.hold)
+	for range 2 {
+		require.Equal(t, exchange.Answered, (<-finals).Ending)
+	}
+	require.Len(t, s.parts, 2)
+	for id, where := range s.parts {
+		require.Len(t, where, 1, id)
+	}
 }
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -5,10 +5,11 @@
 //
 // The rule (docs/design/membership.md weighs it):
 //
-//	existence   the highest-ranked source that has ever named a server decides, while
-//	            it is heard; a lower one alone can add a server, not keep one that a
-//	            higher one has dropped. A silent source neither adds nor drops: its
-//	            last word stands until Forget, and then counts as never said.
+//	existence   the highest-ranked source that has ever named a server decides, among
+//	            those that are heard; a lower one alone can add a server, not keep one
+//	            that a higher one has dropped. Where none of them is heard, the last
+//	            word of the highest-ranked one stands, until Forget; then it counts as
+//	            never said.
 //	identity    servers are one if a source gives the other's name as an alias; two
 //	            sources that give one address to two names name two servers, unless
 //	            Settings.ByAddress: then the higher-ranked one's name holds.
@@ -21,7 +22,8 @@
 //	            the merge says. A source that drops what it had drained does not lift
 //	            that: the others may only not have heard of it. What does is a source
 //	            that names the server anew, a later start, or the time after which the
-//	            source would have been forgotten.
+//	            source would have been forgotten. Of a source that has fallen silent, a
+//	            later start that one tells who is heard does.
 //	soundness   critical by any source that is heard: withheld, unless a higher-ranked
 //	            source that is heard says passing.
 //	start       the latest that any heard source tells.
@@ -474,7 +476,17 @@
 // at what was before.
 func (m *Members) merge(now Micros, v *server) Member {
 	to := Member{Name: v.name, State: Gone, Reason: "no source names it", Cell: v.member.Cell, Weight: 1}
-	decided := false
+	decides := -1
+	for i, s := range m.sources {
+		if w := v.said[i]; w == nil || m.forgotten(now, s) {
+			continue
+		} else if m.heard(now, s) {
+			decides = i
+			break
+		} else if decides < 0 {
+			decides = i
+		}
+	}
 	cells, cellBy := -1, ""
 	critical, passing := "", math.MaxInt
 	addressed := false
@@ -485,8 +497,7 @@
 			continue
 		}
 		heard := m.heard(now, s)
-		if !decided {
-			decided = true
+		if i == decides {
 			if w.dropped {
 				to.Reason = s.Name + " has dropped it"
 				if !heard {
@@ -505,7 +516,7 @@
 			}
 			continue
 		}
-		if w.drainAt > 0 && (to.DrainTold == 0 || w.drainAt < to.DrainTold) {
+		if w.drainAt > 0 && (heard || !m.later(now, v, w.drainAt)) && (to.DrainTold == 0 || w.drainAt < to.DrainTold) {
 			to.DrainTold = w.drainAt
 		}
 		to.Since = max(to.Since, w.Since)
@@ -583,6 +594,16 @@
 	return false
 }
 
+// later tells whether a source that is heard says that a server started after a time.
+func (m *Members) later(now Micros, v *server, than Micros) bool {
+	for i, o := range v.said {
+		if o != nil && !o.dropped && o.Since > than && m.heard(now, m.sources[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // addressedBy tells whether a higher-ranked source that is heard gives addresses.
 func (m *Members) addressedBy(now Micros, v *server, below int) bool {
 	for i := range below {
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -142,6 +142,32 @@
 	require.Equal(t, []string{"new:1", "new:2"}, s.m.servers["x"].member.Addresses, "a silent source's address stands until one that is heard is asked")
 }
 
+// Consul loses its leader in the middle of a release: what it dropped and drained before
+// comes back by the list, which is heard, and by a start after the drain.
+func TestSilentInARelease(t *testing.T) {
+	s := begin(t, func(s *Settings) {
+		s.FloorShare, s.FlapHalf = 0, 0
+		s.Sources = []Source{{Name: "consul", Rank: 0, Silent: 5 * sec, Trusted: true}, {Name: "list", Rank: 1, Silent: 5 * sec, Trusted: true}}
+	})
+	all := []Claim{claim("a", 1), claim("b", 1), claim("c", 1)}
+	s.says("consul", all...)
+	s.says("list", all...)
+	s.says("consul", claim("a", 1, drain), claim("c", 1, drain)) // a drains, b has ended
+	s.is("b", Gone, "consul has dropped it")
+	s.wait(4 * sec)
+	s.fails("consul")
+	s.wait(2 * sec)
+	restarted := func(c *Claim) { c.Since = s.now }
+	s.says("list", claim("a", 1, restarted), claim("b", 1), claim("c", 1))
+	s.is("a", Ready, "list names it")
+	s.is("b", Ready, "list names it")
+	s.is("c", Draining, "told to drain") // nobody says that it started anew
+	s.says("consul", claim("a", 1, drain), claim("c", 1))
+	s.is("a", Draining, "told to drain")
+	s.is("b", Gone, "consul has dropped it")
+	s.is("c", Ready, "")
+}
+
 // An empty answer for two seconds takes nothing; said for long enough it is believed;
 // drains go through the floor at once.
 func TestFloor(t *testing.T) {
--- /dev/null
+++ b/internal/lab/membercost/membercost.go
@@ -0,0 +1,248 @@
+// Package membercost measures the merge of sources: a change, a whole answer, flaps and
+// memory, by how many servers there are. It owns the measurement and its chart. It must
+// never measure a merge that does less than the one in service.
+package membercost
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"saddleport/internal/core/membership"
+	"saddleport/internal/inifile"
+	"saddleport/internal/source/members"
+)
+
+const (
+	changes  = 20000
+	wholes   = 30
+	periods  = 24 // of flapping, 5 s each
+	flapping = 0.1
+)
+
+// Row is one size.
+type Row struct {
+	Servers          int
+	ChangeP50us      float64 // an answer that changes one server, and its step
+	ChangeP99us      float64
+	WholeSameMS      float64 // a whole answer with nothing new
+	WholeNewMS       float64 // one in which a tenth has changed
+	FlapMSEach5s     float64 // a tenth gone and back, one by one, in 5 s: all that it takes of a core
+	FlapListed       float64 // mean share of the fleet that stays usable meanwhile
+	Damped           int64
+	KiBAll, BytesOne float64
+}
+
+// Table is a measurement.
+type Table struct {
+	Machine string
+	Rows    []Row
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+var sources = []string{"list", "consul", "dns"}
+
+func claim(i int) membership.Claim {
+	return membership.Claim{Name: fmt.Sprintf("s-%d", i), Addresses: []string{fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255)}, Site: "zarqa", Kind: "std-2c",
+		Cell: i / 3, HasCell: true, Health: membership.Passing, Weight: 1}
+}
+
+// Measure measures fleets of these sizes, with three sources that all name all servers.
+func Measure(sizes []int, progress io.Writer) (*Table, error) {
+	t := &Table{Machine: fmt.Sprintf("%s, %s/%s, %d processors", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())}
+	for _, n := range sizes {
+		fmt.Fprintf(progress, "%d servers ...\n", n)
+		row, err := measure(n)
+		if err != nil {
+			return nil, err
+		}
+		t.Rows = append(t.Rows, *row)
+	}
+	return t, nil
+}
+
+func measure(n int) (*Row, error) {
+	var set members.Settings
+	inifile.Default(&set)
+	row := &Row{Servers: n}
+	all := make([]membership.Claim, n)
+	for i := range all {
+		all[i] = claim(i)
+	}
+	before := heap()
+	m, err := membership.New(set.Merge(sources))
+	if err != nil {
+		return nil, err
+	}
+	now, index := int64(1_000_000), int64(0)
+	see := func(o membership.Observation) error {
+		index++
+		o.Index = index
+		return m.Observe(now, o)
+	}
+	for _, s := range sources {
+		if err := see(membership.Observation{Source: s, Whole: true, Claims: all}); err != nil {
+			return nil, err
+		}
+		m.Step(now)
+	}
+	row.KiBAll = float64(heap()-before) / 1024
+	row.BytesOne = row.KiBAll * 1024 / float64(n)
+	beat := func() error { // the sources are heard
+		for _, s := range sources {
+			if err := see(membership.Observation{Source: s}); err != nil {
+				return err
+			}
+		}
+		m.Step(now)
+		return nil
+	}
+
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	for i := range changes {
+		if now += 1000; i%5000 == 0 {
+			if err := beat(); err != nil {
+				return nil, err
+			}
+		}
+		c := all[i%n]
+		c.Drain = i/n%2 == 0
+		start := time.Now()
+		if err := see(membership.Observation{Source: "consul", Claims: []membership.Claim{c}}); err != nil {
+			return nil, err
+		}
+		m.Step(now)
+		h.RecordValue(max(time.Since(start).Nanoseconds(), 1))
+	}
+	row.ChangeP50us, row.ChangeP99us = float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000
+
+	whole := func(claims []membership.Claim) (float64, error) {
+		start := time.Now()
+		for range wholes {
+			now += 100_000
+			if err := see(membership.Observation{Source: "consul", Whole: true, Claims: claims}); err != nil {
+				return 0, err
+			}
+			m.Step(now)
+		}
+		return float64(time.Since(start).Microseconds()) / 1000 / wholes, nil
+	}
+	if _, err := whole(all); err != nil { // the drains of before are lifted
+		return nil, err
+	}
+	if row.WholeSameMS, err = whole(all); err != nil {
+		return nil, err
+	}
+	other := append([]membership.Claim(nil), all...)
+	var span time.Duration
+	for k := range wholes {
+		for i := 0; i < n; i += 10 {
+			other[i].Weight = float64(k + 2)
+		}
+		now += 100_000
+		start := time.Now()
+		if err := see(membership.Observation{Source: "consul", Whole: true, Claims: other}); err != nil {
+			return nil, err
+		}
+		m.Step(now)
+		span += time.Since(start)
+	}
+	row.WholeNewMS = float64(span.Microseconds()) / 1000 / wholes
+
+	// A tenth of the fleet goes and comes back in the first-ranked source, one by one,
+	// every 5 s; the timer that a service has runs too.
+	k := int(float64(n) * flapping)
+	span = 0
+	listed, looks := 0.0, 0
+	for range periods {
+		for half := range 2 {
+			for i := range k {
+				now += 2_500_000 / int64(k)
+				start := time.Now()
+				if due := m.Due(); due > 0 && due <= now {
+					m.Step(due)
+				}
+				o := membership.Observation{Source: "list", Gone: []string{all[i].Name}}
+				if half == 1 {
+					o = membership.Observation{Source: "list", Claims: all[i : i+1]}
+				}
+				if err := see(o); err != nil {
+					return nil, err
+				}
+				m.Step(now)
+				span += time.Since(start)
+			}
+			if err := beat(); err != nil {
+				return nil, err
+			}
+			up := 0
+			for _, x := range m.All() {
+				if x.State == membership.Ready {
+					up++
+				}
+			}
+			listed += float64(up) / float64(n)
+			looks++
+		}
+	}
+	row.FlapMSEach5s = float64(span.Microseconds()) / 1000 / periods
+	row.FlapListed = listed / float64(looks)
+	row.Damped = m.Damped
+	runtime.KeepAlive(m)
+	return row, nil
+}
+
+// Print writes the table in Markdown.
+func (t *Table) Print(w io.Writer) error {
+	fmt.Fprintf(w, "%s; three sources that name all servers.\n\n", t.Machine)
+	g := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	head := []string{"servers", "one change p50 us", "p99 us", "whole answer, nothing new ms", "a tenth new ms", "a tenth flaps: ms of a core in 5 s", "usable meanwhile", "returns held back", "KiB", "bytes a server"}
+	fmt.Fprintf(g, "| %s\t|\n|%s\n", strings.Join(head, "\t| "), strings.Repeat(" ---\t|", len(head)))
+	for _, r := range t.Rows {
+		fmt.Fprintf(g, "| %d\t| %.1f\t| %.1f\t| %.2f\t| %.2f\t| %.1f\t| %.3f\t| %d\t| %.0f\t| %.0f\t|\n", r.Servers, r.ChangeP50us, r.ChangeP99us, r.WholeSameMS, r.WholeNewMS,
+			r.FlapMSEach5s, r.FlapListed, r.Damped, r.KiBAll, r.BytesOne)
+	}
+	return g.Flush()
+}
+
+// Chart draws how it grows, on two logarithmic axes.
+func (t *Table) Chart(file string) error {
+	p := plot.New()
+	p.Title.Text = "The merge of three sources by size"
+	p.X.Label.Text, p.Y.Label.Text = "servers", "microseconds"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	line := func(f func(Row) float64) plotter.XYs {
+		var out plotter.XYs
+		for _, r := range t.Rows {
+			out = append(out, plotter.XY{X: float64(r.Servers), Y: max(f(r), 0.01)})
+		}
+		return out
+	}
+	if err := plotutil.AddLinePoints(p, "one change, p50", line(func(r Row) float64 { return r.ChangeP50us }),
+		"one change, p99", line(func(r Row) float64 { return r.ChangeP99us }),
+		"a whole answer, nothing new", line(func(r Row) float64 { return r.WholeSameMS * 1000 }),
+		"a whole answer, a tenth new", line(func(r Row) float64 { return r.WholeNewMS * 1000 }),
+		"a tenth flaps, in 5 s", line(func(r Row) float64 { return r.FlapMSEach5s * 1000 })); err != nil {
+		return err
+	}
+	return p.Save(6*vg.Inch, 4*vg.Inch, file)
+}
