--- a/choice/api.go
+++ b/choice/api.go
@@ -141,6 +141,7 @@
 	Write     bool
 	Parts     int
 	Predicted Micros
+	Least     float64 // share that will do where there is no room for the class's; 0: none less
 }
 
 // Part is one part of a query: of its first step in the Step of its Query, of
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,12 +1,11 @@
 // Package choice decides for a client that reads many shards for one query. Its interface, the settings,
 // events and actions, is in api.go; what it holds is in state.go; every decision and value is in this file.
 //
-// The mechanism: the parts of a query go to more shards than it needs where it
-// needs only some, each to a replica drawn at random among those with room; the
-// query is answered once enough are in. A window per server bounds the parts
-// unanswered there: it grows by one over itself per part served while it is in
-// use, and is cut when parts fail, stay away or come late. A query that finds no
-// room is refused before any part is sent. Nothing is queued.
+// The mechanism: the parts of a query go to more shards than it needs where it needs only some, each to a
+// replica drawn at random among those with room; the query is answered once enough are in. A window per
+// server bounds the parts unanswered there: it grows by one over itself per part served while it is in use,
+// and is cut when parts fail, stay away or come late. A query that finds no room, also for the least that
+// will do, is refused before any part is sent. Nothing is queued.
 //
 // The exceptions, each with its trigger, what it guards against and when it hurts (docs/design.md has more):
 //
@@ -162,7 +161,7 @@
 		aim -= min(c.Deadline-ev.Grace, aim)
 	}
 	q := &query{id: ev.ID, class: c, tenant: ev.Tenant, number: ev.Number, need: c.Need, step: 1}
-	q.size, q.at, q.aimAt = ev.Parts, r.now, r.now+aim-r.set.Resolution
+	q.least, q.size, q.at, q.aimAt = cmp.Or(ev.Least, c.Need), ev.Parts, r.now, r.now+aim-r.set.Resolution
 	q.endAt = r.now + ev.Grace - r.set.Resolution
 	if c.LateWorth == 0 {
 		q.endAt = min(q.endAt, q.aimAt)
@@ -220,6 +219,7 @@
 		return
 	}
 	for try := range planTries {
+		q.need -= float64(try/(planTries-1)) * (q.need - q.least) // the last: rather in part than not
 		if rest, ok := r.planAll(q, try == planTries-1 && r.easy(q.class)); ok {
 			if q.canary = r.now < q.class.watchTo; q.canary {
 				q.lost = 1
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -351,3 +351,24 @@
 		t.Fatalf("bears %v a second, want the mean, %v", g.r.bearing, want)
 	}
 }
+
+// A query that may come down to a least share is admitted for that where there is no
+// room for the whole; without that word it is refused, and nothing is sent.
+func TestLeastShareWhereThereIsNoRoom(t *testing.T) {
+	for _, least := range []float64{0, 0.5} {
+		g := listed(t, 1, func(s *Settings) { s.Width = 1 })
+		for _, s := range g.r.servers { // half of the cells have no room
+			if s.Cell%2 == 0 {
+				s.window, s.out = 1, 1
+			}
+		}
+		_, evs := g.ask("partial", 0, 1)
+		q := evs[0].(Query)
+		q.Least = least
+		evs[0] = q
+		acts := g.step(evs...)
+		if sent := len(of[Send](acts)); (sent > 0) != (least > 0) {
+			t.Fatalf("least %v: %d parts sent, actions %+v", least, sent, acts)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -64,6 +64,7 @@
 	size     int    // parts told of
 	slab     []part // where its parts lie
 	need     float64
+	least    float64 // what it may come down to where there is no room
 	got      float64
 	step     int
 	pace     float64 // product of its served parts' latencies over the class's middle
--- a/cmd/saddleport/main.go
+++ b/cmd/saddleport/main.go
@@ -48,6 +48,7 @@
 			}},
 			hooks(config, operator, asJSON),
 			segments(operator, asJSON),
+			levels(operator, asJSON),
 			{Name: "members", Usage: "what a running mixer believes of its leaf servers, and why", ArgsUsage: "[SERVER]",
 				Flags: []cli.Flag{operator, asJSON, &cli.BoolFlag{Name: "watch", Usage: "go on, and print each change"}},
 				Action: func(ctx context.Context, c *cli.Command) error {
--- a/internal/app/operator.go
+++ b/internal/app/operator.go
@@ -14,6 +14,7 @@
 
 	"saddleport/choice"
 	"saddleport/internal/control"
+	"saddleport/internal/exchange"
 	"saddleport/internal/hook"
 	"saddleport/internal/hook/starlark"
 	"saddleport/internal/hook/wasm"
@@ -35,6 +36,8 @@
 	Members  members.Settings
 	Consul   consul.Settings
 	DNS      dnssrv.Settings
+	Levels   exchange.LevelsSettings
+	Level    []*exchange.LevelSettings
 }
 
 func (o *Operator) sections() []operator.Section {
@@ -46,6 +49,12 @@
 		{Name: "members", Help: "where leaf servers come from", Into: &o.Members, Check: o.checkMembers},
 		{Name: "consul", Help: "Consul's catalogue and health as a source", Into: &o.Consul, Check: func() error { return keyed(o.Consul.Check()) }},
 		{Name: "dns", Help: "DNS SRV records as a source", Into: &o.DNS, Check: func() error { return keyed(o.DNS.Check()) }},
+		{Name: "levels", Help: "reduced service, by named levels", Into: &o.Levels, Check: o.checkLevels},
+		{Name: "level", Help: "a level of reduced service", Each: func(label string) (any, func() error) {
+			l := &exchange.LevelSettings{Name: label}
+			o.Level = append(o.Level, l)
+			return l, func() error { return keyed(l.Check(nil)) }
+		}},
 	}
 }
 
@@ -133,6 +142,8 @@
 		return m.feed.Explain(key)
 	case len(words) >= 2 && len(words) <= 3 && words[0] == "members" && words[1] == "show":
 		return m.membersCommand(words)
+	case len(words) >= 2 && words[0] == "level":
+		return m.levelCommand(words[1:])
 	case line == "counters":
 		return m.x.Counters.String(), nil
 	}
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -180,6 +180,11 @@
 		}
 		defer m.members.end()
 	}
+	if len(op.Levels.Names) > 0 {
+		if err := x.SetLevels(op.Levels, op.levels()); err != nil {
+			return err
+		}
+	}
 	if op.Consul.Register != "" && len(op.Consul.Addrs) > 0 {
 		c, err := consul.New(op.Consul, nil)
 		if err != nil {
--- /dev/null
+++ b/internal/core/level/level.go
@@ -0,0 +1,280 @@
+// Package level decides at which level of service a mixer works: which of the named
+// levels is in force, when a lower one is entered, and when a better one is tried and
+// taken back. It owns that and the reasons for it. It must never change the level on a
+// single reading, leave one untried, or swing with a fault that comes and goes.
+//
+// The way. Each level but the first (full service) has conditions on signals: a signal
+// above its bound speaks for the level, by how many times it is above. What speaks is
+// summed over time (a CUSUM, Page 1954, with the bound as reference value): the level
+// is entered when the sum of a level reaches Evidence, so that a signal at twice its
+// bound takes half as long as one at 1.5 times, and one that hovers at its bound never
+// does. To leave, the sum of what speaks against (signals below Back times their bound)
+// must reach Calm, and the level must have stood for its stay. Then the better level is
+// *tried*: a share of the queries goes by it for Trial, and is set beside the others. A
+// trial that goes badly ends at once, and doubles the stay up to MostStay; a stay is
+// forgotten by half for each MostStay spent at full service. A fault that comes and goes
+// meets ever longer stays: in an hour the level changes a few times, not with each of
+// its comings.
+package level
+
+import (
+	"fmt"
+	"math"
+)
+
+// Micros is a clock reading or a span in microseconds.
+type Micros = int64
+
+// Signals are what was measured in a span that has just ended. Shares are 0 to 1.
+type Signals struct {
+	Asked   float64 // queries a second; with fewer than a few nothing is judged
+	Refused float64 // share of the value asked for that was refused for want of room
+	Failed  float64 // share that failed or came too late
+	Cold    float64 // share of the usable servers that are cold
+	Unsound float64 // share of cells without a usable server
+	Queue   float64 // ms that what came in waited for the exchange
+	Memory  float64 // share of the limit
+}
+
+// Names are the signals' names in the operator file, in the order of Signals.
+var Names = []string{"refused", "failed", "cold", "unsound", "queue", "memory"}
+
+// of is a signal by name.
+func (s *Signals) of(name string) float64 {
+	switch name {
+	case "refused":
+		return s.Refused
+	case "failed":
+		return s.Failed
+	case "cold":
+		return s.Cold
+	case "unsound":
+		return s.Unsound
+	case "queue":
+		return s.Queue
+	case "memory":
+		return s.Memory
+	}
+	return 0
+}
+
+// Cond is a condition: a signal above a bound.
+type Cond struct {
+	Signal string
+	Above  float64
+}
+
+// Level is a level below full service, by what speaks for it: any of its conditions.
+type Level struct {
+	Name  string
+	Enter []Cond
+}
+
+// Settings are the bounds. Spans are in microseconds.
+type Settings struct {
+	Levels    []Level // from the mildest on; full service is above all and has no conditions
+	Evidence  Micros  // at twice a bound, so long, until a level is entered
+	Back      float64 // below this share of all its bounds a level is spoken against
+	Calm      Micros  // at nothing at all, so long, until it may be left
+	Stay      Micros  // at the least
+	MostStay  Micros
+	Trial     Micros
+	Worse     float64 // a trial fails where its share of bad ends is above the others' by this
+	LeastSeen int     // and it has seen so many
+}
+
+// Change is a change of the level, with its reason in figures.
+type Change struct {
+	At       Micros
+	From, To int // 0 is full service
+	Why      string
+}
+
+// State is one mixer's level.
+type State struct {
+	set   Settings
+	level int
+	since Micros
+	last  Micros // the last reading
+	up    []float64
+	down  float64
+	stay  Micros
+	calm  Micros // since when it is at full service
+
+	trial   Micros // since when the better level is tried; 0: it is not
+	tried   group
+	others  group
+	pin     int // below 0: none
+	pinTill Micros
+}
+
+// group is how queries ended.
+type group struct{ n, bad float64 }
+
+func (g group) share() float64 {
+	if g.n == 0 {
+		return 0
+	}
+	return g.bad / g.n
+}
+
+// New returns a mixer's level: full service.
+func New(set Settings, now Micros) *State {
+	return &State{set: set, up: make([]float64, len(set.Levels)), stay: set.Stay, since: now, last: now, calm: now, pin: -1}
+}
+
+// Level is the level in force; 0 is full service.
+func (s *State) Level() int {
+	if s.pin >= 0 {
+		return s.pin
+	}
+	return s.level
+}
+
+// Name is a level's name.
+func (s *State) Name(level int) string {
+	if level == 0 {
+		return "full"
+	}
+	return s.set.Levels[level-1].Name
+}
+
+// Trying tells whether the next better level is being tried.
+func (s *State) Trying() bool { return s.trial > 0 && s.pin < 0 }
+
+// Stay is how long the level in force must stand.
+func (s *State) Stay() Micros { return s.stay }
+
+// pressure is how many times a level's bounds are exceeded, by the signal that speaks
+// loudest.
+func (s *State) pressure(level int, g *Signals) (float64, string) {
+	most, why := 0.0, ""
+	for _, c := range s.set.Levels[level-1].Enter {
+		if c.Above <= 0 {
+			continue
+		}
+		if p := g.of(c.Signal) / c.Above; p > most {
+			most, why = p, fmt.Sprintf("%s %.3g, bound %.3g", c.Signal, g.of(c.Signal), c.Above)
+		}
+	}
+	return most, why
+}
+
+// mostPressure bounds what one reading can say.
+const mostPressure = 4
+
+// Read takes the signals of a span that ends now, and returns a change of the level, if
+// that is one. A clock that has gone back or stood still brings nothing.
+func (s *State) Read(now Micros, g Signals) (Change, bool) {
+	dt := now - s.last
+	s.last = now
+	if dt <= 0 {
+		return Change{}, false
+	}
+	dt = min(dt, s.set.Evidence/2) // a gap is no evidence
+	if s.pin >= 0 && now >= s.pinTill {
+		from := s.pin
+		s.pin = -1
+		if from != s.level {
+			return Change{now, from, s.level, "the pin has expired"}, true
+		}
+	}
+	if s.level == 0 && now-s.calm >= s.set.MostStay { // long well: what flapping had earned fades
+		s.stay, s.calm = max(s.stay/2, s.set.Stay), now
+	}
+	to, why := s.level, ""
+	for l := 1; l <= len(s.set.Levels); l++ {
+		p, said := s.pressure(l, &g)
+		s.up[l-1] = max(0, s.up[l-1]+min((min(p, mostPressure)-1)*float64(dt), float64(s.set.Evidence)/2)) // no single reading is enough
+		s.up[l-1] = min(s.up[l-1], 2*float64(s.set.Evidence))
+		if l > s.level && s.up[l-1] >= float64(s.set.Evidence) {
+			to, why = l, said
+		}
+	}
+	if to > s.level {
+		return s.turn(now, to, why), true
+	}
+	if s.level == 0 {
+		return Change{}, false
+	}
+	p, _ := s.pressure(s.level, &g)
+	s.down = max(0, s.down+(s.set.Back-p)/s.set.Back*float64(dt))
+	s.down = min(s.down, 2*float64(s.set.Calm))
+	if s.trial > 0 {
+		return s.tryOn(now)
+	}
+	if s.down >= float64(s.set.Calm) && now-s.since >= s.stay {
+		s.trial, s.tried, s.others = now, group{}, group{}
+	}
+	return Change{}, false
+}
+
+// tryOn looks at a trial that is under way.
+func (s *State) tryOn(now Micros) (Change, bool) {
+	worse := s.tried.n >= float64(s.set.LeastSeen) && s.tried.share() > s.others.share()+s.set.Worse
+	switch {
+	case worse || s.down == 0: // at once: the queries that try it pay for it
+		s.trial, s.down, s.since = 0, 0, now
+		s.stay = min(2*s.stay, s.set.MostStay)
+	case now-s.trial >= s.set.Trial && s.tried.n >= float64(s.set.LeastSeen):
+		why := fmt.Sprintf("tried by %.0f queries, %.1f%% ended badly, and %.1f%% of %.0f others", s.tried.n, 100*s.tried.share(), 100*s.others.share(), s.others.n)
+		return s.turn(now, s.level-1, why), true
+	}
+	return Change{}, false
+}
+
+func (s *State) turn(now Micros, to int, why string) Change {
+	c := Change{now, s.level, to, why}
+	if to > s.level && s.level > 0 || to > s.level && now-s.since < s.stay { // back soon after it was left: it had been left too early
+		s.stay = min(2*s.stay, s.set.MostStay)
+	}
+	s.level, s.since, s.down, s.trial = to, now, 0, 0
+	for i := range s.up {
+		if i < to || i == to { // what spoke for this or for less has been heard
+			s.up[i] = 0
+		}
+	}
+	if to == 0 {
+		s.calm = now
+	}
+	return c
+}
+
+// Ended notes how a query ended: whether it went by the better level, and how much of
+// its value was lost.
+func (s *State) Ended(tried bool, value, lost float64) {
+	if s.trial == 0 {
+		return
+	}
+	g := &s.others
+	if tried {
+		g = &s.tried
+	}
+	g.n++
+	if value > 0 {
+		g.bad += math.Min(lost/value, 1)
+	}
+}
+
+// Pin holds a level until a time, whatever the signals say; they are read on. It
+// returns the change, if it is one.
+func (s *State) Pin(now Micros, level int, until Micros) (Change, bool) {
+	from := s.Level()
+	s.pin, s.pinTill = level, until
+	return Change{now, from, level, "pinned"}, from != level
+}
+
+// Release lets go of a pin.
+func (s *State) Release(now Micros) (Change, bool) {
+	from := s.Level()
+	s.pin = -1
+	return Change{now, from, s.level, "the pin was released"}, from != s.level
+}
+
+// Pinned tells until when a level is pinned; 0: none is.
+func (s *State) Pinned() Micros {
+	if s.pin < 0 {
+		return 0
+	}
+	return s.pinTill
+}
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -44,6 +44,11 @@
 	Moved    atomic.Int64 // attempts turned away by servers that do not hold them now
 	Unrouted atomic.Int64 // queries that the map of segments could not route
 
+	Level        atomic.Int64 // the level of service in force; 0 is full
+	LevelChanges atomic.Int64
+	LevelRefused atomic.Int64 // queries that a level turned away
+	LevelShort   atomic.Int64 // queries that were asked for in part
+
 	// More are the figures of a subsystem that is on; nil: none. It is set before Run.
 	More func(put func(name string, v int64))
 }
@@ -90,6 +95,10 @@
 	put("hook_drops", &c.HookDrops)
 	put("moved", &c.Moved)
 	put("unrouted", &c.Unrouted)
+	put("level", &c.Level)
+	put("level_changes", &c.LevelChanges)
+	put("level_refused", &c.LevelRefused)
+	put("level_short", &c.LevelShort)
 	if c.More != nil {
 		c.More(func(name string, v int64) { fmt.Fprintf(&b, "%s=%d ", name, v) })
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -153,6 +153,7 @@
 	ended    bool
 	watched  *watched // nil: no hook watches it
 	placed   *placed  // nil: it is not routed by a map
+	eased    *eased   // nil: there are no levels
 }
 
 type timer struct {
@@ -221,12 +222,14 @@
 	// Tags that hooks give go to leaf servers too.
 	forwardTags bool
 	segments    *segments // nil: shards are what the settings say
+	levels      *levels   // nil: there is full service alone
 	start       time.Time
 	origin      choice.Micros
 
 	mu    sync.Mutex
 	in    []func()
-	spare []func() // what in was before, to be used again
+	inAt  time.Time // when the first of them came, with levels
+	spare []func()  // what in was before, to be used again
 	drive Drive
 	wake  chan struct{} // of the system's drive; nil: another's
 	open  atomic.Int64
@@ -293,6 +296,9 @@
 
 func (x *Exchange) post(f func()) {
 	x.mu.Lock()
+	if x.levels != nil && len(x.in) == 0 {
+		x.inAt = x.drive.Now()
+	}
 	x.in = append(x.in, f)
 	x.mu.Unlock()
 	x.drive.Wake()
@@ -329,7 +335,12 @@
 
 // Listed hands in news of the server list.
 func (x *Exchange) Listed(l choice.List) {
-	x.post(func() { x.events = append(x.events, l) })
+	x.post(func() {
+		x.events = append(x.events, l)
+		if x.levels != nil {
+			x.levels.heard(l)
+		}
+	})
 }
 
 // ---- The owner's goroutine.
@@ -355,7 +366,13 @@
 }
 
 // Attach gives an exchange its client side.
-func (x *Exchange) Attach(leaves Leaves) { x.leaves = leaves }
+func (x *Exchange) Attach(leaves Leaves) {
+	x.leaves = leaves
+	if x.levels != nil {
+		x.levels.tick = x.after(x.drive.Now().Add(readEvery), x.read)
+		x.drive.Wake()
+	}
+}
 
 // Turn gathers what has come in and what is due, lets the router decide, and hands
 // out what it decided. It tells when something is due next, if anything is. One
@@ -364,6 +381,9 @@
 	x.mu.Lock()
 	in := x.in
 	x.in = x.spare[:0]
+	if x.levels != nil && len(in) > 0 {
+		x.levels.queue = max(x.levels.queue, x.drive.Now().Sub(x.inAt))
+	}
 	x.mu.Unlock()
 	for i, f := range in {
 		f()
@@ -469,6 +489,9 @@
 
 // admit hands a query to the decisions.
 func (x *Exchange) admit(h *held) {
+	if x.levels != nil && !x.ease(h) {
+		return
+	}
 	q := h.Query
 	x.numbers++
 	ev := choice.Query{ID: q.ID, Class: h.class, Number: x.numbers, Key: q.Key, Tenant: q.Tenant,
@@ -477,11 +500,18 @@
 	// Where hooks dropped so much that the rest can't be whole, the decisions are to
 	// want all of the rest; how the answer is marked is looked at again at its end.
 	scale := 1.0
-	if k := h.watched; k != nil && k.gone > 0 {
-		if need := x.class(h.class).Need; 1-k.gone < need {
-			scale = need / (1 - k.gone)
+	gone := 0.0
+	if h.watched != nil {
+		gone = h.watched.gone
+	}
+	if gone > 0 {
+		if need := x.class(h.class).Need; 1-gone < need {
+			scale = need / (1 - gone)
 		}
 	}
+	if h.eased != nil {
+		ev.Least = h.eased.need
+	}
 	at := len(x.events)
 	x.events = append(x.events, ev) // with the query in front, once its parts are known
 	for _, p := range h.parts {
@@ -544,7 +574,11 @@
 		} else if h != nil && h.watched != nil {
 			x.decide(h, a.Whole)
 		} else if h != nil {
-			x.end(h, Final{Ending: Answered, Whole: a.Whole, Hits: h.hits()})
+			f := Final{Ending: Answered, Whole: a.Whole, Hits: h.hits()}
+			if h.eased != nil && h.eased.need > 0 {
+				f = x.easedFinal(h, f)
+			}
+			x.end(h, f)
 		}
 	case choice.Refuse:
 		if h := x.queries[a.ID]; h != nil && h.placed != nil {
@@ -692,6 +726,9 @@
 	if h.watched != nil {
 		f.Notes = h.watched.notes
 	}
+	if x.levels != nil {
+		x.levels.weigh(x, h, f)
+	}
 	x.final(h.Query, f)
 	if h.watched != nil {
 		x.endHooks(h, f)
--- a/internal/lab/record/print.go
+++ b/internal/lab/record/print.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -35,6 +37,19 @@
 	} else if m.Wall > 0 {
 		fmt.Fprintf(w, "%.1f s; the mixers took %.2f cores, %d MiB and %d descriptors at most\n", m.Wall.Seconds(), m.Cores, m.PeakMiB, m.Files)
 	}
+	changes := make(map[int]int)
+	for _, l := range r.Levels {
+		changes[l.Mixer]++
+	}
+	for _, m := range slices.Sorted(maps.Keys(changes)) {
+		fmt.Fprintf(w, "mixer %d changed its level %d times:", m, changes[m])
+		for _, l := range r.Levels {
+			if l.Mixer == m {
+				fmt.Fprintf(w, " %s at %v", l.To, l.At.Round(time.Second))
+			}
+		}
+		fmt.Fprintln(w)
+	}
 	for _, f := range r.Verdict.Faults {
 		fmt.Fprintln(w, "  "+f)
 	}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -119,6 +120,7 @@
 	Queries []Query
 	Seconds []Second
 	Events  []Event
+	Levels  []LevelLine
 	Broken  []string // what else went wrong: a mixer that died by itself, a queue of the rig's that was full
 	Machine Machine
 	Expect  scenario.Expect
@@ -216,6 +218,19 @@
 	r.run.Events = append(r.run.Events, Event{at, text})
 }
 
+// LevelLine is a change of a mixer's level of service.
+type LevelLine struct {
+	At            time.Duration
+	Mixer         int
+	From, To, Why string
+}
+
+// Level notes a change of a mixer's level.
+func (r *Recorder) Level(at time.Duration, mixer int, from, to, why string) {
+	r.run.Levels = append(r.run.Levels, LevelLine{at, mixer, from, to, why})
+	r.Event(at, fmt.Sprintf("mixer %d: level %s -> %s: %s", mixer, from, to, why))
+}
+
 // Broke notes what else went wrong.
 func (r *Recorder) Broke(text string) { r.run.Broken = append(r.run.Broken, text) }
 
--- a/internal/lab/scenario/file.go
+++ b/internal/lab/scenario/file.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"saddleport/internal/exchange"
 	"saddleport/internal/inifile"
 	"saddleport/internal/source/members"
 )
@@ -192,6 +193,7 @@
 // Expect is the section [expect]. The rules are always expected.
 type Expect struct {
 	Goodput float64 `ini:"goodput-least" default:"0" range:"0..1"`
+	Levels  int     `ini:"level-changes-most" default:"0" range:"0..100000" help:"of each mixer; 0: not looked at"`
 	Broken  int     `ini:"broken-least" default:"0" range:"0..1000000" help:"so many rules must be seen broken: a scenario that shows the judge at work"`
 }
 
@@ -210,6 +212,8 @@
 	Bursts   []Burst
 	List     List
 	Members  members.Settings
+	Levels   exchange.LevelsSettings
+	Level    []exchange.LevelSettings
 	Sources  []Source // those that [source NAME] sections describe
 	Faults   []Fault
 	Expect   Expect
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"saddleport/internal/exchange"
 	"saddleport/internal/inifile"
 	"saddleport/internal/lab/model"
 )
@@ -25,7 +26,7 @@
 
 func decode(file string, doc *inifile.Doc) (*Scenario, error) {
 	s := &Scenario{File: file, doc: doc}
-	for _, into := range []any{&s.Mixers, &s.Settings, &s.Network, &s.Clients, &s.Load, &s.List, &s.Members, &s.Expect} {
+	for _, into := range []any{&s.Mixers, &s.Settings, &s.Network, &s.Clients, &s.Load, &s.List, &s.Members, &s.Levels, &s.Expect} {
 		inifile.Default(into)
 	}
 	main := Group{Name: "fleet"}
@@ -62,6 +63,8 @@
 					err = sec.Fault("", "%v", bad)
 				}
 			}
+		case "levels":
+			err = sec.Decode(&s.Levels)
 		case "expect":
 			err = sec.Decode(&s.Expect)
 		default:
@@ -97,6 +100,14 @@
 				b := Burst{Name: sec.Label}
 				err = sec.Decode(&b)
 				s.Bursts = append(s.Bursts, b)
+			case "level":
+				l := exchange.LevelSettings{Name: sec.Label}
+				if err = sec.Decode(&l); err == nil {
+					if bad := l.Check(nil); bad != nil {
+						err = sec.Fault("give", "%v", bad)
+					}
+				}
+				s.Level = append(s.Level, l)
 			case "source":
 				o := Source{Name: sec.Label}
 				err = sec.Decode(&o)
@@ -128,7 +139,7 @@
 }
 
 func unknown(sec *inifile.Section) error {
-	return sec.Fault("", "no such section; there are: include, vary, scenario, mixers, settings, fleet, group NAME, network, link A B, clients, class NAME, load, burst NAME, list, members, source NAME, fault NAME, expect")
+	return sec.Fault("", "no such section; there are: include, vary, scenario, mixers, settings, fleet, group NAME, network, link A B, clients, class NAME, load, burst NAME, list, members, source NAME, levels, level NAME, fault NAME, expect")
 }
 
 func (c *Class) check(sec *inifile.Section) error {
--- a/internal/lab/virtual/mixer.go
+++ b/internal/lab/virtual/mixer.go
@@ -27,6 +27,7 @@
 	asks    map[string]*ask
 	links   map[int]*link
 	stops   map[int]time.Duration // from when on nothing may go to a server
+	levels  int                   // changes of the level in lives before
 	merge   *merging              // nil: there is one source
 
 	alarm   *event.Timer
@@ -91,6 +92,11 @@
 	if m.x, err = exchange.NewOn(m, d, seed, w.set); err != nil {
 		return err
 	}
+	if len(w.plan.Levels.Names) > 0 {
+		if err := m.x.SetLevels(w.plan.Levels, w.plan.Level); err != nil {
+			return err
+		}
+	}
 	var leaves exchange.Leaves = m
 	if wrap := w.opt.Sabotage.Leaves; wrap != nil {
 		leaves = wrap(m.n, leaves, m.x)
@@ -179,6 +185,7 @@
 	if m.x == nil {
 		return
 	}
+	m.levelsOver()
 	m.x = nil
 	if m.alarm != nil {
 		m.alarm.Stop()
@@ -189,6 +196,21 @@
 	}
 }
 
+// levelsOver notes what the levels of a mixer that ends have done.
+func (m *mixer) levelsOver() {
+	r := m.x.LevelsNow()
+	if r == nil {
+		return
+	}
+	for _, c := range r.Past {
+		m.w.rec.Level(c.At.Sub(epoch), m.n, c.From, c.To, c.Why)
+	}
+	m.levels += len(r.Past)
+	if most := m.w.plan.Expect.Levels; most > 0 && m.levels > most {
+		m.w.rec.Broke(fmt.Sprintf("mixer %d changed its level %d times, and %d are allowed", m.n, m.levels, most))
+	}
+}
+
 // ---- Queries.
 
 func (m *mixer) take(a *ask) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -26,6 +27,9 @@
 	// Check, if set, looks at the values once all of the file has been read.
 	// A *KeyError names the key that is at fault.
 	Check func() error
+	// Each, if set, is for sections [NAME LABEL], of which there may be several: it
+	// returns what gets the values of one and its check. Into and Check are nil then.
+	Each func(label string) (into any, check func() error)
 }
 
 // KeyError is a fault of one key that its form does not show.
@@ -59,7 +63,9 @@
 func Load(path string, sections []Section) (*File, error) {
 	f := &File{Path: path, sections: sections, origins: make(map[string]Origin)}
 	for _, s := range sections {
-		inifile.Default(s.Into)
+		if s.Each == nil {
+			inifile.Default(s.Into)
+		}
 	}
 	doc := &inifile.Doc{File: path}
 	var err error
@@ -75,7 +81,9 @@
 func Parse(path string, text []byte, sections []Section) (*File, error) {
 	f := &File{Path: path, sections: sections, origins: make(map[string]Origin)}
 	for _, s := range sections {
-		inifile.Default(s.Into)
+		if s.Each == nil {
+			inifile.Default(s.Into)
+		}
 	}
 	doc, err := inifile.Parse(path, text)
 	if err != nil {
@@ -88,6 +96,12 @@
 	read := make(map[string]*inifile.Section)
 	for _, s := range doc.Sections {
 		known := f.section(s.Name)
+		if i := f.each(s); known == nil && i >= 0 {
+			into, check := f.sections[i].Each(s.Label)
+			inifile.Default(into)
+			f.sections = append(f.sections, Section{Name: s.Name, Help: f.sections[i].Help, Into: into, Check: check})
+			known = &f.sections[len(f.sections)-1]
+		}
 		if known == nil {
 			return s.Fault("", "no such section; there are: %s", strings.Join(f.names(), ", "))
 		}
@@ -120,16 +134,27 @@
 
 func (f *File) section(name string) *Section {
 	for i := range f.sections {
-		if f.sections[i].Name == name {
+		if f.sections[i].Name == name && f.sections[i].Each == nil {
 			return &f.sections[i]
 		}
 	}
 	return nil
 }
 
+// each is the section of several that a section of the file is one of; below 0: none.
+func (f *File) each(s *inifile.Section) int {
+	if s.Label == "" {
+		return -1
+	}
+	return slices.IndexFunc(f.sections, func(o Section) bool { return o.Each != nil && o.Name == s.Kind })
+}
+
 func (f *File) names() []string {
 	var out []string
 	for _, s := range f.sections {
+		if s.Each != nil {
+			s.Name += " NAME"
+		}
 		out = append(out, s.Name)
 	}
 	return out
@@ -143,6 +168,9 @@
 		fmt.Fprintf(w, "# %s\n", f.Path)
 	}
 	for _, s := range f.sections {
+		if s.Each != nil {
+			continue
+		}
 		fmt.Fprintf(w, "\n[%s]  # %s\n", s.Name, s.Help)
 		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		for _, k := range inifile.Fields(s.Into) {
@@ -172,6 +200,9 @@
 func (f *File) Values() []Value {
 	var out []Value
 	for _, s := range f.sections {
+		if s.Each != nil {
+			continue
+		}
 		for _, k := range inifile.Fields(s.Into) {
 			out = append(out, Value{s.Name, k.Key, k.Value, k.Default, k.Range, f.origins[s.Name+" "+k.Key].String(), k.Help})
 		}
