--- a/internal/lab/consulapi/consulapi.go
+++ b/internal/lab/consulapi/consulapi.go
@@ -21,6 +21,7 @@
 	ID, Node, Site, Kind string
 	Address              string // host:port
 	Cell                 int
+	DC                   string // empty: the agent's own, dc1
 	Since                int64  // ms; 0: long ago
 	Status               string // passing, warning, critical
 	Maintenance          bool   // the operator's word: drain
@@ -184,6 +185,10 @@
 		wait = 5 * time.Minute
 	}
 	_, stale := q["stale"]
+	dc := q.Get("dc")
+	if dc == "" {
+		dc = ownDC
+	}
 	end := time.After(wait + wait/16)
 	s.mu.Lock()
 	for waiting := index > 0; waiting && s.index == index; {
@@ -202,7 +207,9 @@
 	var list []Instance
 	if !f.Empty && r.PathValue("name") == s.service {
 		for _, id := range s.order {
-			list = append(list, s.all[id])
+			if i := s.all[id]; dc == i.dc() {
+				list = append(list, i)
+			}
 		}
 	}
 	s.mu.Unlock()
@@ -235,6 +242,15 @@
 	}
 }
 
+const ownDC = "dc1"
+
+func (i Instance) dc() string {
+	if i.DC == "" {
+		return ownDC
+	}
+	return i.DC
+}
+
 // form is an instance as the two endpoints show it.
 func (i Instance) form(health bool, service string) any {
 	host, port, _ := net.SplitHostPort(i.Address)
@@ -248,7 +264,7 @@
 	}
 	weights := map[string]int{"Passing": 1, "Warning": 1}
 	if !health {
-		return map[string]any{"Node": i.Node, "Address": "127.0.0.1", "Datacenter": "dc1", "ServiceID": i.ID, "ServiceName": service, "ServiceAddress": host,
+		return map[string]any{"Node": i.Node, "Address": "127.0.0.1", "Datacenter": i.dc(), "ServiceID": i.ID, "ServiceName": service, "ServiceAddress": host,
 			"ServicePort": n, "ServiceTags": i.Tags, "ServiceMeta": meta, "ServiceWeights": weights}
 	}
 	checks := []map[string]any{{"Node": i.Node, "CheckID": "serfHealth", "Status": "passing", "ServiceID": ""},
@@ -256,7 +272,7 @@
 	if i.Maintenance {
 		checks = append(checks, map[string]any{"Node": i.Node, "CheckID": "_service_maintenance:" + i.ID, "Status": "critical", "ServiceID": i.ID})
 	}
-	return map[string]any{"Node": map[string]any{"Node": i.Node, "Address": "127.0.0.1", "Datacenter": "dc1"},
+	return map[string]any{"Node": map[string]any{"Node": i.Node, "Address": "127.0.0.1", "Datacenter": i.dc()},
 		"Service": map[string]any{"ID": i.ID, "Service": service, "Address": host, "Port": n, "Tags": i.Tags, "Meta": meta, "Weights": weights},
 		"Checks":  checks}
 }
--- a/internal/source/consul/consul_test.go
+++ b/internal/source/consul/consul_test.go
@@ -183,6 +183,29 @@
 	}
 }
 
+// Each datacentre is a source of its own, with its own watch; what the catalogue tells
+// has no checks.
+func TestDatacentres(t *testing.T) {
+	a, b := instance("a", 1), instance("b", 2)
+	a.DC, b.DC, b.Status = "amman", "zarqa", "critical"
+	srv, err := consulapi.Listen("trips", []consulapi.Instance{a, b})
+	require.NoError(t, err)
+	defer srv.Close()
+	h := &heard{}
+	start(t, settings(func(s *Settings) {
+		s.Addrs, s.DCs, s.Read = []string{srv.Addr}, []string{"amman", "zarqa"}, "catalogue"
+	}), h)
+	seen := make(map[string]membership.Observation)
+	for len(seen) < 2 {
+		o := h.until(t, "both datacentres", func(o membership.Observation) bool { return len(o.Claims) == 1 })
+		seen[o.Source] = o
+	}
+	require.NotNil(t, named(seen["consul.amman"], "a"))
+	require.NotNil(t, named(seen["consul.zarqa"], "b"))
+	require.Equal(t, membership.Unknown, seen["consul.zarqa"].Claims[0].Health)
+	require.True(t, seen["consul.zarqa"].Claims[0].HasCell)
+}
+
 // An answer of any bytes, or of too many, is none.
 func TestBadAnswers(t *testing.T) {
 	body := make(chan string, 1)
--- a/internal/source/targets/targets.go
+++ b/internal/source/targets/targets.go
@@ -257,7 +257,7 @@
 	return out
 }
 
-// closing is a context that ends when stop is closed; it holds no goroutine.
+// closing is a context that ends when stop is closed.
 func closing(stop <-chan struct{}) context.Context { return stopped{context.Background(), stop} }
 
 type stopped struct {
