Let a part wait while another of its query is under way to the same segment

Two segments of a query, turned away one by one, merged into one; each was rerouted by itself and went out under the same wire name. Now the second waits for the first, 5 ms at a time, within the query's deadline.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -135,6 +135,7 @@
 	// Where segments are routed by a map.
 	target   *placement.Target
 	from     *part    // it replaced that one
+	leg      string   // in which it goes out
 	legs     []string // in which what replaced it went out
 	replaced bool
 	away     bool // a server did not hold it: not sent under this name any more
--- a/internal/exchange/segments.go
+++ b/internal/exchange/segments.go
@@ -90,6 +90,7 @@
 	h.placed = k
 	for i := range targets {
 		h.parts = append(h.parts, x.target(h, &targets[i], ""))
+		h.parts[i].leg = h.ID
 	}
 	return nil
 }
@@ -187,6 +188,12 @@
 		x.releaseAll(p)
 		return
 	}
+	if h.meets(p, targets) {
+		s.parked[p] = true
+		h.placed.wait++
+		p.alarm = x.after(x.drive.Now().Add(meetPause), func() { x.reroute(p) })
+		return
+	}
 	h.placed.n++
 	leg := h.ID + "~" + strconv.Itoa(h.placed.n)
 	p.replaced = true
@@ -200,6 +207,7 @@
 	weight := p.target.Weight()
 	for i := range targets {
 		n := x.target(h, &targets[i], "~"+strconv.Itoa(h.placed.n))
+		n.leg = leg
 		n.prior, n.turns, n.from = p.prior+len(p.attempts), p.turns, p
 		h.parts = append(h.parts, n)
 		x.parts[n.id] = n
@@ -210,6 +218,28 @@
 	x.post(func() {}) // the caller may be in the middle of a turn
 }
 
+// meetPause is how soon a part looks again whether its segment is free.
+const meetPause = 5 * time.Millisecond
+
+// meets tells whether another part of the query is under way to a segment that a part
+// would go to now: two segments that were turned away one by one have merged since.
+// Both would go out under one name, as a part that has two attempts out at once; so
+// the second waits for the first.
+func (h *held) meets(p *part, targets []placement.Target) bool {
+	for _, o := range h.parts {
+		live := o.out > 0 || !o.served && !o.replaced && h.placed.legs[o.leg]
+		if o == p || !live {
+			continue
+		}
+		for i := range targets {
+			if uint32(o.Shard) == targets[i].Segment {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // release tells the decisions, late, that an attempt never ran.
 func (x *Exchange) release(a *Attempt) {
 	if !a.withheld {
