--- a/internal/core/level/level.go
+++ b/internal/core/level/level.go
@@ -33,11 +33,10 @@
 	Cold    float64 // share of the usable servers that are cold
 	Unsound float64 // share of cells without a usable server
 	Queue   float64 // ms that what came in waited for the exchange
-	Memory  float64 // share of the limit
 }
 
 // Names are the signals' names in the operator file, in the order of Signals.
-var Names = []string{"refused", "failed", "cold", "unsound", "queue", "memory"}
+var Names = []string{"refused", "failed", "cold", "unsound", "queue"}
 
 // of is a signal by name.
 func (s *Signals) of(name string) float64 {
@@ -52,8 +51,6 @@
 		return s.Unsound
 	case "queue":
 		return s.Queue
-	case "memory":
-		return s.Memory
 	}
 	return 0
 }
