--- a/internal/source/consul/consul_test.go
+++ b/internal/source/consul/consul_test.go
@@ -20,39 +20,10 @@
 	"saddleport/internal/core/membership"
 	"saddleport/internal/inifile"
 	"saddleport/internal/lab/consulapi"
+	"saddleport/internal/lab/observed"
 	"saddleport/internal/logs"
 )
 
-// heard gathers observations.
-type heard struct {
-	mu  sync.Mutex
-	all []membership.Observation
-}
-
-func (h *heard) Observe(o membership.Observation) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.all = append(h.all, o)
-}
-
-// until waits for an observation that is as wanted; what came before it is dropped.
-func (h *heard) until(t *testing.T, what string, want func(o membership.Observation) bool) membership.Observation {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		h.mu.Lock()
-		i := slices.IndexFunc(h.all, want)
-		if i >= 0 {
-			o := h.all[i]
-			h.all = h.all[i+1:]
-			h.mu.Unlock()
-			return o
-		}
-		h.mu.Unlock()
-	}
-	t.Fatalf("never heard: %s", what)
-	return membership.Observation{}
-}
-
 func settings(change func(*Settings)) Settings {
 	var s Settings
 	inifile.Default(&s)
@@ -67,7 +38,7 @@
 	return consulapi.Instance{ID: id, Node: "node-" + id, Site: "zarqa", Kind: "std-2c", Address: "127.0.0.1:7001", Cell: cell, Status: "passing"}
 }
 
-func start(t *testing.T, s Settings, h *heard) (stop func()) {
+func start(t *testing.T, s Settings, h *observed.Sink) (stop func()) {
 	c, err := New(s, h)
 	require.NoError(t, err)
 	done, over := make(chan struct{}), make(chan struct{})
@@ -77,15 +48,6 @@
 	return stop
 }
 
-func named(o membership.Observation, id string) *membership.Claim {
-	for i := range o.Claims {
-		if o.Claims[i].Name == id {
-			return &o.Claims[i]
-		}
-	}
-	return nil
-}
-
 // What instances, checks, maintenance, tags and meta say; changes come by the watch.
 func TestWatch(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
@@ -94,26 +56,28 @@
 	srv, err := consulapi.Listen("trips", []consulapi.Instance{a, instance("b", 4)})
 	require.NoError(t, err)
 	defer srv.Close()
-	h := &heard{}
+	h := &observed.Sink{}
 	stop := start(t, settings(func(s *Settings) { s.Addrs = []string{srv.Addr} }), h)
-	o := h.until(t, "both", func(o membership.Observation) bool { return len(o.Claims) == 2 })
+	o := h.Until(t, "both", func(o membership.Observation) bool { return len(o.Claims) == 2 })
 	require.Equal(t, membership.Claim{Name: "a", Addresses: []string{"127.0.0.1:7001", "unix:/run/a.sock"}, Site: "zarqa", Kind: "std-2c", Cell: 3, HasCell: true,
-		Health: membership.Passing, Weight: 2.5}, *named(o, "a"))
+		Health: membership.Passing, Weight: 2.5}, *observed.Named(o, "a"))
 	b := instance("b", 4)
 	b.Maintenance = true
 	srv.Put(b)
-	h.until(t, "a drain", func(o membership.Observation) bool {
-		c := named(o, "b")
+	h.Until(t, "a drain", func(o membership.Observation) bool {
+		c := observed.Named(o, "b")
 		return c != nil && c.Drain && c.Health == membership.Passing
 	})
 	b.Maintenance, b.Status, b.Tags = false, "critical", []string{"draining"}
 	srv.Put(b)
-	h.until(t, "critical", func(o membership.Observation) bool {
-		c := named(o, "b")
+	h.Until(t, "critical", func(o membership.Observation) bool {
+		c := observed.Named(o, "b")
 		return c != nil && c.Drain && c.Health == membership.Critical
 	})
 	srv.Remove("b")
-	h.until(t, "gone", func(o membership.Observation) bool { return o.Whole && named(o, "b") == nil && named(o, "a") != nil })
+	h.Until(t, "gone", func(o membership.Observation) bool {
+		return o.Whole && observed.Named(o, "b") == nil && observed.Named(o, "a") != nil
+	})
 	stop()
 }
 
@@ -123,25 +87,21 @@
 	srv, err := consulapi.Listen("trips", []consulapi.Instance{instance("a", 3)})
 	require.NoError(t, err)
 	defer srv.Close()
-	h := &heard{}
+	h := &observed.Sink{}
 	start(t, settings(func(s *Settings) { s.Addrs = []string{srv.Addr} }), h)
-	first := h.until(t, "a", func(o membership.Observation) bool { return named(o, "a") != nil })
+	first := h.Until(t, "a", func(o membership.Observation) bool { return observed.Named(o, "a") != nil })
 	srv.Set(func(f *consulapi.Faults) { f.NoLeader, f.Empty = true, true })
-	h.until(t, "a failure", func(o membership.Observation) bool { return o.Failed })
+	h.Until(t, "a failure", func(o membership.Observation) bool { return o.Failed })
 	srv.Set(func(f *consulapi.Faults) { f.NoLeader, f.Empty, f.Contact = false, false, time.Minute })
-	h.until(t, "a failure for an old server", func(o membership.Observation) bool { return o.Failed })
+	h.Until(t, "a failure for an old server", func(o membership.Observation) bool { return o.Failed })
 	srv.Set(func(f *consulapi.Faults) { f.Contact = 0 })
-	h.until(t, "a again", func(o membership.Observation) bool { return named(o, "a") != nil && o.Index > first.Index })
+	h.Until(t, "a again", func(o membership.Observation) bool { return observed.Named(o, "a") != nil && o.Index > first.Index })
 	srv.Reset()
-	o := h.until(t, "a reset", func(o membership.Observation) bool { return o.Reset })
+	o := h.Until(t, "a reset", func(o membership.Observation) bool { return o.Reset })
 	require.Less(t, o.Index, first.Index)
 	srv.Put(instance("c", 1))
-	h.until(t, "news after the reset", func(o membership.Observation) bool { return named(o, "c") != nil && !o.Reset })
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, o := range h.all {
-		require.False(t, !o.Failed && len(o.Claims) == 0, "an answer without a leader was taken for news")
-	}
+	h.Until(t, "news after the reset", func(o membership.Observation) bool { return observed.Named(o, "c") != nil && !o.Reset })
+	h.Never(t, "an answer without a leader was taken for news", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
 }
 
 // A silent agent is left for the next; the token comes from the file, is read again
@@ -164,19 +124,19 @@
 	front.Config.ErrorLog = nil
 	ca := filepath.Join(t.TempDir(), "ca.pem")
 	require.NoError(t, os.WriteFile(ca, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: front.Certificate().Raw}), 0o600))
-	h := &heard{}
+	h := &observed.Sink{}
 	stop := start(t, settings(func(s *Settings) {
 		s.Addrs, s.Token, s.TLS, s.CA = []string{dead.Addr, strings.TrimPrefix(front.URL, "https://")}, token, true, ca
 	}), h)
-	h.until(t, "a refusal", func(o membership.Observation) bool { return o.Failed })
+	h.Until(t, "a refusal", func(o membership.Observation) bool { return o.Failed })
 	require.NoError(t, os.WriteFile(token, []byte("s3cret-two"), 0o600))
-	h.until(t, "a", func(o membership.Observation) bool { return named(o, "a") != nil })
+	h.Until(t, "a", func(o membership.Observation) bool { return observed.Named(o, "a") != nil })
 	stop()
 	require.NotContains(t, log.String(), "s3cret")
 
-	bad := &heard{}
+	bad := &observed.Sink{}
 	start(t, settings(func(s *Settings) { s.Addrs, s.TLS = []string{strings.TrimPrefix(front.URL, "https://")}, true }), bad)
-	bad.until(t, "an authority that is not trusted", func(o membership.Observation) bool { return o.Failed })
+	bad.Until(t, "an authority that is not trusted", func(o membership.Observation) bool { return o.Failed })
 	for _, s := range []Settings{settings(func(s *Settings) { s.Token = ca + ".none" }), settings(func(s *Settings) { s.CA = token })} {
 		_, err := New(s, bad)
 		require.Error(t, err)
@@ -191,17 +151,17 @@
 	srv, err := consulapi.Listen("trips", []consulapi.Instance{a, b})
 	require.NoError(t, err)
 	defer srv.Close()
-	h := &heard{}
+	h := &observed.Sink{}
 	start(t, settings(func(s *Settings) {
 		s.Addrs, s.DCs, s.Read = []string{srv.Addr}, []string{"amman", "zarqa"}, "catalogue"
 	}), h)
 	seen := make(map[string]membership.Observation)
 	for len(seen) < 2 {
-		o := h.until(t, "both datacentres", func(o membership.Observation) bool { return len(o.Claims) == 1 })
+		o := h.Until(t, "both datacentres", func(o membership.Observation) bool { return len(o.Claims) == 1 })
 		seen[o.Source] = o
 	}
-	require.NotNil(t, named(seen["consul.amman"], "a"))
-	require.NotNil(t, named(seen["consul.zarqa"], "b"))
+	require.NotNil(t, observed.Named(seen["consul.amman"], "a"))
+	require.NotNil(t, observed.Named(seen["consul.zarqa"], "b"))
 	require.Equal(t, membership.Unknown, seen["consul.zarqa"].Claims[0].Health)
 	require.True(t, seen["consul.zarqa"].Claims[0].HasCell)
 }
--- a/internal/source/dnssrv/dnssrv_test.go
+++ b/internal/source/dnssrv/dnssrv_test.go
@@ -13,55 +13,14 @@
 	"saddleport/internal/core/membership"
 	"saddleport/internal/inifile"
 	"saddleport/internal/lab/dnsserver"
+	"saddleport/internal/lab/observed"
 )
 
 const name = "_trips._tcp.zarqa.example.org"
 
-type heard struct {
-	mu  sync.Mutex
-	all []membership.Observation
-}
-
-func (h *heard) Observe(o membership.Observation) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.all = append(h.all, o)
-}
-
-// until waits for an observation that is as wanted; what came before it is dropped.
-func (h *heard) until(t *testing.T, what string, want func(o membership.Observation) bool) membership.Observation {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		h.mu.Lock()
-		if i := slices.IndexFunc(h.all, want); i >= 0 {
-			o := h.all[i]
-			h.all = h.all[i+1:]
-			h.mu.Unlock()
-			return o
-		}
-		h.mu.Unlock()
-	}
-	t.Fatalf("never heard: %s", what)
-	return membership.Observation{}
-}
-
-func (h *heard) never(t *testing.T, what string, bad func(o membership.Observation) bool) {
-	t.Helper()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	require.False(t, slices.ContainsFunc(h.all, bad), what)
-}
-
-func named(o membership.Observation, id string) *membership.Claim {
-	if i := slices.IndexFunc(o.Claims, func(c membership.Claim) bool { return c.Name == id }); i >= 0 {
-		return &o.Claims[i]
-	}
-	return nil
-}
-
 // usable: the claim of a server that has all that a part needs.
 func usable(o membership.Observation, id string) bool {
-	c := named(o, id)
+	c := observed.Named(o, id)
 	return c != nil && c.HasCell && len(c.Addresses) > 0
 }
 
@@ -89,8 +48,8 @@
 	return s
 }
 
-func start(t *testing.T, s Settings) (*heard, func()) {
-	h := &heard{}
+func start(t *testing.T, s Settings) (*observed.Sink, func()) {
+	h := &observed.Sink{}
 	require.NoError(t, s.Check())
 	done, over := make(chan struct{}), make(chan struct{})
 	go func() { New(s, h).Run(done); close(over) }()
@@ -106,17 +65,19 @@
 	srv, err := dnsserver.Listen(name, 0, []dnsserver.Target{target("s-1", 3, "127.0.0.1", "::1"), target("s-2", 4, "127.0.0.2")})
 	require.NoError(t, err)
 	h, stop := start(t, settings(nil, srv))
-	o := h.until(t, "both", func(o membership.Observation) bool { return usable(o, "s-1") && usable(o, "s-2") })
-	require.Equal(t, membership.Claim{Name: "s-1", Addresses: []string{"[::1]:7001", "127.0.0.1:7001"}, Site: "zarqa", Kind: "std-2c", Cell: 3, HasCell: true, Weight: 1}, *named(o, "s-1"))
+	o := h.Until(t, "both", func(o membership.Observation) bool { return usable(o, "s-1") && usable(o, "s-2") })
+	require.Equal(t, membership.Claim{Name: "s-1", Addresses: []string{"[::1]:7001", "127.0.0.1:7001"}, Site: "zarqa", Kind: "std-2c", Cell: 3, HasCell: true, Weight: 1}, *observed.Named(o, "s-1"))
 	drained := target("s-2", 4, "127.0.0.2")
 	drained.Text = dnsserver.TextOf("s-2", "zarqa", "std-2c", 4, true, 7)
 	srv.Put(drained)
-	h.until(t, "a drain", func(o membership.Observation) bool {
-		c := named(o, "s-2")
+	h.Until(t, "a drain", func(o membership.Observation) bool {
+		c := observed.Named(o, "s-2")
 		return c != nil && c.Drain && c.Since == 7000
 	})
 	srv.Remove("s-2.zarqa.example.org")
-	h.until(t, "gone", func(o membership.Observation) bool { return o.Whole && usable(o, "s-1") && named(o, "s-2") == nil })
+	h.Until(t, "gone", func(o membership.Observation) bool {
+		return o.Whole && usable(o, "s-1") && observed.Named(o, "s-2") == nil
+	})
 	stop()
 	srv.Close()
 }
@@ -135,7 +96,7 @@
 			srv := listen(t, 60, target("s-1", 3, "127.0.0.1"))
 			srv.Set(f)
 			h, _ := start(t, settings(func(s *Settings) { s.Timeout = 5 * time.Second }, srv))
-			h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+			h.Until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
 			if what == "truncated" {
 				require.Positive(t, srv.Asked("tcp"))
 			}
@@ -148,7 +109,7 @@
 	}
 	srv := listen(t, 60, many...)
 	h, _ := start(t, settings(func(s *Settings) { s.Timeout, s.Most, s.Parallel = 10*time.Second, 150, 32 }, srv))
-	o := h.until(t, "all that may be", func(o membership.Observation) bool {
+	o := h.Until(t, "all that may be", func(o membership.Observation) bool {
 		return len(o.Claims) == 150 && !slices.ContainsFunc(o.Claims, func(c membership.Claim) bool { return !usable(o, c.Name) })
 	})
 	require.Positive(t, srv.Asked("tcp"))
@@ -170,8 +131,8 @@
 			bad, good := listen(t, 60), listen(t, 60, target("s-1", 3, "127.0.0.1"))
 			bad.Set(f)
 			h, _ := start(t, settings(nil, bad, good))
-			h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
-			h.never(t, "an empty answer", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
+			h.Until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+			h.Never(t, "an empty answer", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
 		})
 	}
 }
@@ -182,10 +143,10 @@
 	one, two := listen(t, 0, target("s-1", 3, "127.0.0.1")), listen(t, 0, target("s-1", 3, "127.0.0.1"))
 	one.Set(func(f *dnsserver.Faults) { f.Empty = true })
 	h, _ := start(t, settings(nil, one, two))
-	h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
-	h.never(t, "an empty answer", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
+	h.Until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+	h.Never(t, "an empty answer", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
 	two.Set(func(f *dnsserver.Faults) { f.Empty = true })
-	h.until(t, "nothing", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
+	h.Until(t, "nothing", func(o membership.Observation) bool { return !o.Failed && len(o.Claims) == 0 })
 }
 
 // A resolver that goes silent: what was said stands as stale, the source counts as
@@ -193,13 +154,13 @@
 func TestSilence(t *testing.T) {
 	srv := listen(t, 0, target("s-1", 3, "127.0.0.1"))
 	h, _ := start(t, settings(func(s *Settings) { s.Timeout = 20 * time.Millisecond }, srv))
-	h.until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
+	h.Until(t, "s-1", func(o membership.Observation) bool { return usable(o, "s-1") })
 	srv.Set(func(f *dnsserver.Faults) { f.Silent = true })
-	h.until(t, "a failure", func(o membership.Observation) bool { return o.Failed })
-	h.until(t, "another", func(o membership.Observation) bool { return o.Failed })
+	h.Until(t, "a failure", func(o membership.Observation) bool { return o.Failed })
+	h.Until(t, "another", func(o membership.Observation) bool { return o.Failed })
 	srv.Set(func(f *dnsserver.Faults) { f.Silent = false })
-	h.until(t, "s-1 again", func(o membership.Observation) bool { return usable(o, "s-1") })
-	h.never(t, "an answer without s-1", func(o membership.Observation) bool { return !o.Failed && named(o, "s-1") == nil })
+	h.Until(t, "s-1 again", func(o membership.Observation) bool { return usable(o, "s-1") })
+	h.Never(t, "an answer without s-1", func(o membership.Observation) bool { return !o.Failed && observed.Named(o, "s-1") == nil })
 }
 
 // RFC 2782: of each cell the lowest priority alone; weights count within it; the
@@ -212,13 +173,13 @@
 	d.Weight = 10
 	srv := listen(t, 60, a, b, c, d)
 	h, _ := start(t, settings(nil, srv))
-	o := h.until(t, "three", func(o membership.Observation) bool {
+	o := h.Until(t, "three", func(o membership.Observation) bool {
 		return len(o.Claims) == 3 && usable(o, "s-1") && usable(o, "s-3") && usable(o, "s-4")
 	})
-	require.InDelta(t, 1.5, named(o, "s-1").Weight, 1e-9)
-	require.InDelta(t, 0.5, named(o, "s-4").Weight, 1e-9)
+	require.InDelta(t, 1.5, observed.Named(o, "s-1").Weight, 1e-9)
+	require.InDelta(t, 0.5, observed.Named(o, "s-4").Weight, 1e-9)
 	h, _ = start(t, settings(func(s *Settings) { s.Cell = "label" }, listen(t, 60, dnsserver.Target{Name: "trip7.c2.zarqa.example.org", Addrs: []string{"127.0.0.1"}, Port: 1})))
-	o = h.until(t, "a label", func(o membership.Observation) bool { return usable(o, "trip7.c2.zarqa.example.org") })
+	o = h.Until(t, "a label", func(o membership.Observation) bool { return usable(o, "trip7.c2.zarqa.example.org") })
 	require.Equal(t, 2, o.Claims[0].Cell)
 }
 
