--- a/cmd/saddlelab/main.go
+++ b/cmd/saddlelab/main.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -93,40 +94,12 @@
 					}
 					return t.Print(os.Stdout)
 				}},
-			{Name: "map-cost", Usage: "measure the map of segments by size", Flags: []cli.Flag{asJSON,
-				&cli.StringFlag{Name: "chart", Usage: "draw a chart into this `FILE` (.png or .svg)"}},
-				Action: func(_ context.Context, c *cli.Command) error {
-					t, err := mapcost.Measure([]int{1000, 3000, 10000, 30000, 100000}, os.Stderr)
-					if err != nil {
-						return err
-					}
-					if file := c.String("chart"); file != "" {
-						if err := t.Chart(file); err != nil {
-							return err
-						}
-					}
-					if c.Bool("json") {
-						return encode(t)
-					}
-					return t.Print(os.Stdout)
-				}},
-			{Name: "members-cost", Usage: "measure the merge of sources by the size of the fleet", Flags: []cli.Flag{asJSON,
-				&cli.StringFlag{Name: "chart", Usage: "draw a chart into this `FILE` (.png or .svg)"}},
-				Action: func(_ context.Context, c *cli.Command) error {
-					t, err := membercost.Measure([]int{100, 300, 1000, 5000, 10000}, os.Stderr)
-					if err != nil {
-						return err
-					}
-					if file := c.String("chart"); file != "" {
-						if err := t.Chart(file); err != nil {
-							return err
-						}
-					}
-					if c.Bool("json") {
-						return encode(t)
-					}
-					return t.Print(os.Stdout)
-				}},
+			cost("map-cost", "measure the map of segments by size", asJSON, func() (costs, error) {
+				return mapcost.Measure([]int{1000, 3000, 10000, 30000, 100000}, os.Stderr)
+			}),
+			cost("members-cost", "measure the merge of sources by the size of the fleet", asJSON, func() (costs, error) {
+				return membercost.Measure([]int{100, 300, 1000, 5000, 10000}, os.Stderr)
+			}),
 		},
 	}
 	root.Commands = append(root.Commands, emulatorCommands(program, asJSON)...)
@@ -201,3 +174,29 @@
 	}
 	return nil
 }
+
+// costs is a measurement by size.
+type costs interface {
+	Chart(file string) error
+	Print(w io.Writer) error
+}
+
+// cost is a command that measures by size, and draws a chart if it is to.
+func cost(name, usage string, asJSON cli.Flag, measure func() (costs, error)) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Flags: []cli.Flag{asJSON, &cli.StringFlag{Name: "chart", Usage: "draw a chart into this `FILE` (.png or .svg)"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			t, err := measure()
+			if err != nil {
+				return err
+			}
+			if file := c.String("chart"); file != "" {
+				if err := t.Chart(file); err != nil {
+					return err
+				}
+			}
+			if c.Bool("json") {
+				return encode(t)
+			}
+			return t.Print(os.Stdout)
+		}}
+}
--- a/internal/lab/mapcost/mapcost.go
+++ b/internal/lab/mapcost/mapcost.go
@@ -12,12 +12,8 @@
 	"text/tabwriter"
 	"time"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-
 	"saddleport/internal/core/placement"
+	"saddleport/internal/lab/loglog"
 )
 
 const (
@@ -139,24 +135,13 @@
 
 // Chart draws how look-ups, changes and whole maps grow, on two logarithmic axes.
 func (t *Table) Chart(file string) error {
-	p := plot.New()
-	p.Title.Text = "The map of segments by size"
-	p.X.Label.Text, p.Y.Label.Text = "segments", "microseconds"
-	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
-	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
-	p.Legend.Top, p.Legend.Left = true, true
-	p.Add(plotter.NewGrid())
-	line := func(f func(Row) float64) plotter.XYs {
-		var out plotter.XYs
-		for _, r := range t.Rows {
-			out = append(out, plotter.XY{X: float64(r.Segments), Y: f(r)})
+	var sizes []int
+	lines := []loglog.Line{{Name: "a look-up"}, {Name: "one change"}, {Name: "a whole map"}}
+	for _, r := range t.Rows {
+		sizes = append(sizes, r.Segments)
+		for i, v := range []float64{r.LookupNS / 1000, r.ChangeUS, r.WholeMS * 1000} {
+			lines[i].Values = append(lines[i].Values, v)
 		}
-		return out
-	}
-	if err := plotutil.AddLinePoints(p, "a look-up", line(func(r Row) float64 { return r.LookupNS / 1000 }),
-		"one change", line(func(r Row) float64 { return r.ChangeUS }),
-		"a whole map", line(func(r Row) float64 { return r.WholeMS * 1000 })); err != nil {
-		return err
 	}
-	return p.Save(6*vg.Inch, 4*vg.Inch, file)
+	return loglog.Save(file, "The map of segments by size", "segments", sizes, lines...)
 }
--- a/internal/lab/membercost/membercost.go
+++ b/internal/lab/membercost/membercost.go
@@ -12,13 +12,10 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
 
 	"saddleport/internal/core/membership"
 	"saddleport/internal/inifile"
+	"saddleport/internal/lab/loglog"
 	"saddleport/internal/source/members"
 )
 
@@ -223,26 +220,13 @@
 
 // Chart draws how it grows, on two logarithmic axes.
 func (t *Table) Chart(file string) error {
-	p := plot.New()
-	p.Title.Text = "The merge of three sources by size"
-	p.X.Label.Text, p.Y.Label.Text = "servers", "microseconds"
-	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
-	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
-	p.Legend.Top, p.Legend.Left = true, true
-	p.Add(plotter.NewGrid())
-	line := func(f func(Row) float64) plotter.XYs {
-		var out plotter.XYs
-		for _, r := range t.Rows {
-			out = append(out, plotter.XY{X: float64(r.Servers), Y: max(f(r), 0.01)})
+	var sizes []int
+	lines := []loglog.Line{{Name: "one change, p50"}, {Name: "one change, p99"}, {Name: "a whole answer, nothing new"}, {Name: "a whole answer, a tenth new"}, {Name: "a tenth flaps, in 5 s"}}
+	for _, r := range t.Rows {
+		sizes = append(sizes, r.Servers)
+		for i, v := range []float64{r.ChangeP50us, r.ChangeP99us, r.WholeSameMS * 1000, r.WholeNewMS * 1000, r.FlapMSEach5s * 1000} {
+			lines[i].Values = append(lines[i].Values, v)
 		}
-		return out
-	}
-	if err := plotutil.AddLinePoints(p, "one change, p50", line(func(r Row) float64 { return r.ChangeP50us }),
-		"one change, p99", line(func(r Row) float64 { return r.ChangeP99us }),
-		"a whole answer, nothing new", line(func(r Row) float64 { return r.WholeSameMS * 1000 }),
-		"a whole answer, a tenth new", line(func(r Row) float64 { return r.WholeNewMS * 1000 }),
-		"a tenth flaps, in 5 s", line(func(r Row) float64 { return r.FlapMSEach5s * 1000 })); err != nil {
-		return err
 	}
-	return p.Save(6*vg.Inch, 4*vg.Inch, file)
+	return loglog.Save(file, "The merge of three sources by size", "servers", sizes, lines...)
 }
