Hand a drain on before its line is written; bound the addresses that one server is known by

On rereading: the merge wrote a line for each change before the decisions were told, so a slow log held a drain up; and with same-address on, a server that moves on and on was held under every address it ever had.

--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -372,7 +372,12 @@
 		for _, a := range c.Addresses {
 			if m.byAddr[a] != v.name {
 				m.byAddr[a] = v.name
-				v.addrs = append(v.addrs, a)
+				if v.addrs = append(v.addrs, a); len(v.addrs) > mostAliases { // one that moves on and on
+					if m.byAddr[v.addrs[0]] == v.name {
+						delete(m.byAddr, v.addrs[0])
+					}
+					v.addrs = slices.Delete(v.addrs, 0, 1)
+				}
 			}
 		}
 	}
--- a/internal/source/members/members.go
+++ b/internal/source/members/members.go
@@ -157,9 +157,10 @@
 func (s *Service) Observe(o membership.Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var astray []membership.Claim
 	for i := range o.Claims {
 		if c := &o.Claims[i]; c.HasCell && (c.Cell < 0 || c.Cell >= s.cells) {
-			log.Warn("member-cell", "source", o.Source, "server", c.Name, "cell", c.Cell, "cells", s.cells)
+			astray = append(astray, *c)
 			c.HasCell = false
 			s.skipped++
 		}
@@ -170,6 +171,9 @@
 	}
 	s.heard = s.heard || !o.Failed
 	s.step()
+	for _, c := range astray {
+		log.Warn("member-cell", "source", o.Source, "server", c.Name, "cell", c.Cell, "cells", s.cells)
+	}
 }
 
 // Sign notes that a server has answered: its first sign, if it wants one.
@@ -180,13 +184,23 @@
 	s.step()
 }
 
-// step hands on what has changed, and sets the timer. Under the lock.
+// step hands on what has changed, and sets the timer. Lines are written after that: a
+// log that is slow must not hold a drain up. Under the lock.
 func (s *Service) step() {
 	if s.stopped {
 		return
 	}
 	now := s.clock()
 	changed := s.core.Step(now)
+	if rows, addrs := s.rows.Delta(now, changed); s.asked && s.heard {
+		s.asked, s.begun = false, true
+		s.version++
+		list, all := s.rows.Whole(now, s.core.All())
+		s.to.Told(choice.List{Form: choice.Full, Version: s.version, Servers: list}, all)
+	} else if len(rows) > 0 && s.begun {
+		s.version++
+		s.to.Told(choice.List{Form: choice.Delta, Version: s.version, Servers: rows}, addrs)
+	}
 	for _, m := range changed {
 		s.changes++
 		if m.New && s.prove != nil && len(m.Addresses) > 0 {
@@ -198,15 +212,6 @@
 		s.floored = s.core.Floored
 		log.Warn("member-floor", "on", s.floored)
 	}
-	if rows, addrs := s.rows.Delta(now, changed); s.asked && s.heard {
-		s.asked, s.begun = false, true
-		s.version++
-		list, all := s.rows.Whole(now, s.core.All())
-		s.to.Told(choice.List{Form: choice.Full, Version: s.version, Servers: list}, all)
-	} else if len(rows) > 0 && s.begun {
-		s.version++
-		s.to.Told(choice.List{Form: choice.Delta, Version: s.version, Servers: rows}, addrs)
-	}
 	if s.timer != nil {
 		s.timer.Stop()
 		s.timer = nil
