--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -21,6 +21,37 @@
 	return j.Judge(at(0), at(1000))
 }
 
+// A drain counts by mixer and source: another source's word does not lift it, its own
+// does, and so does a new process.
+func TestToldBy(t *testing.T) {
+	for name, c := range map[string]struct {
+		scene func(j *Judge)
+		mixer int
+		want  int
+	}{
+		"after the drain":              {func(j *Judge) { j.ToldBy(1, "consul", "a", true, at(0)) }, 1, 1},
+		"another mixer's":              {func(j *Judge) { j.ToldBy(1, "consul", "a", true, at(0)) }, 2, 0},
+		"another source serves":        {func(j *Judge) { j.ToldBy(1, "consul", "a", true, at(0)); j.ToldBy(1, "list", "a", false, at(5)) }, 1, 1},
+		"the same source serves":       {func(j *Judge) { j.ToldBy(1, "consul", "a", true, at(0)); j.ToldBy(1, "consul", "a", false, at(5)) }, 1, 0},
+		"its process is another":       {func(j *Judge) { j.ToldBy(1, "consul", "a", true, at(0)); j.Restarted("a", 3) }, 1, 0},
+		"told again, the first counts": {func(j *Judge) { j.ToldBy(1, "consul", "a", true, at(0)); j.ToldBy(1, "consul", "a", true, at(2400)) }, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := play("free-slots", func(j *Judge, q *Query) {
+				c.scene(j)
+				a := j.ArrivedFrom(c.mixer, "q.1", "a", at(2500))
+				a.Ran()
+				a.Over(at(2550), "v1")
+				q.Ended, q.Patience, q.Whole, q.Hits = at(2600), 5*time.Second, true, []Hit{{Shard: 1, Value: "v1"}}
+			})
+			require.Equal(t, c.want, v.Drained, "%v", v.Faults)
+		})
+	}
+	v := play("free-slots", func(j *Judge, q *Query) { j.Astray("q.1", "b"); q.Outcome = Refused })
+	require.Equal(t, 1, v.Astray)
+	require.False(t, v.Pass())
+}
+
 func served(j *Judge, part, server string, from, to int, value string) {
 	a := j.Arrived(part, server, at(from))
 	a.Ran()
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -66,7 +66,8 @@
 	failing := small + "[fault f]\ndo = fail\nat = 2s\nparts = 0.7\n"
 	draining := small + "[fault d]\ndo = drain\nat = 2s\nwho = cell 1\n"
 	returning := strings.ReplaceAll(small, "rate  = 40", "rate  = 300") + "[fault d]\ndo = die\nat = 2s\nfor = 3s\nwho = cell 1\n"
-	for _, fair := range []string{failing, draining, returning} {
+	told := small + "[members]\nsources = list, consul\n[fault d]\ndo = drain\nsource = consul\nat = 2s\nwho = cell 1\n"
+	for _, fair := range []string{failing, draining, returning, told} {
 		require.Zero(t, play(t, fair, Options{}).Verdict.Broken(), "%s", play(t, fair, Options{}).Verdict.Faults)
 	}
 	unsafe := func(s *settings.Settings) {
@@ -91,6 +92,10 @@
 		{"unsafe parts once", failing, Sabotage{Settings: unsafe}, func(r *record.Run) int { return r.Verdict.Doubled }, "of book-trip ran"},
 		{"nothing new to a drained server", draining, Sabotage{Undrain: true, Settings: func(s *settings.Settings) { s.Router.DrainGrace = 60_000_000 }},
 			func(r *record.Run) int { return r.Verdict.Drained }, "after its drain was told"},
+		{"also where one source alone told", told, Sabotage{Undrain: true, Settings: func(s *settings.Settings) { s.Router.DrainGrace = 60_000_000 }},
+			func(r *record.Run) int { return r.Verdict.Drained }, "after its drain was told"},
+		{"nothing to a server that does not hold it", small, Sabotage{Leaves: func(_ int, l exchange.Leaves, _ *exchange.Exchange) exchange.Leaves { return &strayer{Leaves: l} }},
+			func(r *record.Run) int { return r.Verdict.Astray }, "which does not hold it"},
 		{"whole marks are honest", small, Sabotage{Final: func(f *exchange.Final) *exchange.Final { f.Hits = f.Hits[:min(len(f.Hits), 1)]; return f }},
 			func(r *record.Run) int { return r.Verdict.Wrong }, "marked whole with"},
 		{"the least share", small, Sabotage{Final: func(f *exchange.Final) *exchange.Final {
@@ -118,6 +123,25 @@
 	}
 }
 
+// strayer sends now and then a part to the first server that it has seen, whatever that holds.
+type strayer struct {
+	exchange.Leaves
+	first string
+	n     int
+}
+
+func (s *strayer) Send(list []*exchange.Attempt) {
+	for _, a := range list {
+		if s.first == "" {
+			s.first = a.Server
+		}
+		if s.n++; s.n%20 == 0 {
+			a.Server = s.first
+		}
+	}
+	s.Leaves.Send(list)
+}
+
 // renamer sends parts under names that nobody gave them.
 type renamer struct {
 	exchange.Leaves
