Believe the first answer that names servers: a mixer with Consul alone could send for 10 s to few

Seen in a mixer started by hand with Consul alone: every server was new and waited for a first sign, four probes at a time or the source's next answer, 10 s later. The first answer is believed as it is; the property test saw that the order of answers mattered in a first form, so it is decided in a step.

--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -35,7 +35,9 @@
 //	            stay, until a source that is heard has said so for a while; drains are
 //	            not held up.
 //	new ones    of a source that is not trusted wait for a first sign: another source,
-//	            or the same source again after a while.
+//	            or the same source again after a while. The first answer that names any
+//	            server at all is believed as it is: there is nothing to set it beside,
+//	            and a mixer that starts must have somebody to ask.
 package membership
 
 import (
@@ -192,6 +194,7 @@
 	alias   map[string]string // another name: the server's
 	byAddr  map[string]string
 	order   []string // names, sorted
+	begun   bool // some source has named a server
 	dirty   []*server
 	timed   map[*server]bool // have a dueAt
 	listed  int              // ready or draining
@@ -448,6 +451,12 @@
 // returns the members that changed, by name; a caller that never saw one has it Gone.
 func (m *Members) Step(now Micros) []Member {
 	m.turned(now)
+	if !m.begun && len(m.servers) > 0 { // in a step, so that the order of answers does not matter
+		m.begun = true
+		for _, v := range m.servers {
+			v.proven = true
+		}
+	}
 	dirty := m.dirty
 	m.dirty = nil
 	slices.SortFunc(dirty, func(a, b *server) int { return cmp.Compare(a.name, b.name) })
