--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -194,7 +194,7 @@
 	alias   map[string]string // another name: the server's
 	byAddr  map[string]string
 	order   []string // names, sorted
-	begun   bool // some source has named a server
+	begun   bool     // some source has named a server
 	dirty   []*server
 	timed   map[*server]bool // have a dueAt
 	listed  int              // ready or draining
--- a/internal/source/dnssrv/dnssrv.go
+++ b/internal/source/dnssrv/dnssrv.go
@@ -111,13 +111,14 @@
 	name    string
 	kind    uint16
 	records []dns.RR
-	due     bool
+	asked   bool // it has been answered, or has failed
 }
 
 // host is what is known of a target.
 type host struct {
 	a, aaaa, txt *item
 	named        bool
+	called       string // the name that its TXT record gave last
 }
 
 // zone is one SRV name. Its loop alone touches it.
@@ -128,7 +129,6 @@
 	srv    *item
 	hosts  map[string]*host
 	index  int64
-	told   time.Time
 	was    resolve.Standing
 }
 
@@ -214,6 +214,7 @@
 			_, ask := r.i.q.Next()
 			log.Warn("dns-failed", "name", r.i.name, "type", dns.TypeToString[r.i.kind], "resolver", z.s.set.Resolvers[ask.Resolver], "tcp", ask.TCP, "err", r.err)
 		}
+		r.i.asked = true
 		if r.i.q.Took(z.clock(), r.outcome, r.ttl.Microseconds()) {
 			r.i.records = r.records
 		}
@@ -290,25 +291,25 @@
 		}
 		return
 	}
+	if s == resolve.Fresh && z.index == 0 && z.early(now) { // nothing half is told as the whole
+		return
+	}
 	z.index++
 	o := membership.Observation{Source: z.source, Index: z.index, Whole: true}
 	if s == resolve.Fresh {
 		o.Claims = z.claims(now)
-		if z.early(now) { // some targets have not been looked up yet: their names are no news without
-			return
-		}
 	}
 	z.s.to.Observe(o)
 }
 
-// early tells whether nothing is known yet of any target: the first look-ups are out.
+// early tells whether first look-ups of targets are still out.
 func (z *zone) early(now resolve.Micros) bool {
 	for _, h := range z.hosts {
-		if h.a.q.Standing(now) != resolve.Never || h.aaaa.q.Standing(now) != resolve.Never {
-			return false
+		if h.txt != nil && !h.txt.asked || !h.a.asked && h.a.q.Standing(now) == resolve.Never {
+			return true
 		}
 	}
-	return len(z.hosts) > 0
+	return false
 }
 
 // believed are the records of a question that still count.
@@ -336,7 +337,7 @@
 		r := rr.(*dns.SRV)
 		name := strings.ToLower(r.Target)
 		h := z.hosts[name]
-		if h == nil {
+		if h == nil || h.txt != nil && !h.txt.asked { // its name is not known yet
 			continue
 		}
 		t := target{priority: r.Priority, weight: r.Weight}
@@ -402,6 +403,12 @@
 		}
 		return
 	}
+	target := c.Name
+	defer func() {
+		if h.called != "" && h.called != target { // known by both, should the record be gone for a while
+			c.Name, c.Aliases = h.called, []string{target}
+		}
+	}()
 	for _, rr := range h.txt.believed(now) {
 		for _, text := range rr.(*dns.TXT).Txt {
 			for word := range strings.FieldsSeq(text) {
@@ -413,7 +420,7 @@
 					}
 				case "name":
 					if v != "" {
-						c.Name = v
+						h.called = v
 					}
 				case "site":
 					c.Site = v
--- a/internal/source/dnssrv/dnssrv_test.go
+++ b/internal/source/dnssrv/dnssrv_test.go
@@ -65,8 +65,10 @@
 	srv, err := dnsserver.Listen(name, 0, []dnsserver.Target{target("s-1", 3, "127.0.0.1", "::1"), target("s-2", 4, "127.0.0.2")})
 	require.NoError(t, err)
 	h, stop := start(t, settings(nil, srv))
-	o := h.Until(t, "both", func(o membership.Observation) bool { return usable(o, "s-1") && usable(o, "s-2") })
-	require.Equal(t, membership.Claim{Name: "s-1", Addresses: []string{"[::1]:7001", "127.0.0.1:7001"}, Site: "zarqa", Kind: "std-2c", Cell: 3, HasCell: true, Weight: 1}, *observed.Named(o, "s-1"))
+	// What is told first is told whole: nobody is named before his cell is known.
+	o := h.Until(t, "anything", func(o membership.Observation) bool { return true })
+	require.True(t, usable(o, "s-1") && usable(o, "s-2"), "%+v", o)
+	require.Equal(t, membership.Claim{Name: "s-1", Addresses: []string{"[::1]:7001", "127.0.0.1:7001"}, Site: "zarqa", Kind: "std-2c", Cell: 3, HasCell: true, Weight: 1, Aliases: []string{"s-1.zarqa.example.org"}}, *observed.Named(o, "s-1"))
 	drained := target("s-2", 4, "127.0.0.2")
 	drained.Text = dnsserver.TextOf("s-2", "zarqa", "std-2c", 4, true, 7)
 	srv.Put(drained)
