Hold dials to a server whose dial just failed; tell what waits for it at once

Change: after a failed dial a server is not dialed again for the dial time, doubled with each further miss, 2 s at most; parts placed there meanwhile are finished at once as NoConnection (never ran), so the decisions move them. A dial that comes up clears it. The decisions in choice/ are unchanged.

--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -41,6 +41,7 @@
 	copyFor      = 2 * time.Second        // so long may a second copy of an answer still come
 	sweepEvery   = 500 * time.Millisecond
 	dialFallback = 250 * time.Millisecond // where the settings tell no time for it
+	dialHoldMost = 2 * time.Second        // the longest a server whose dials fail is not dialed
 	idleShare    = 0.9                    // of the servers' idle time: ours is over first
 )
 
@@ -84,6 +85,9 @@
 	waiting []*call // for a connection
 	dialing bool
 	seen    eyeballs.Memory // of its addresses, where it has several
+	// After a dial failed: no new dial before heldTill; misses in a row set how long.
+	heldTill time.Time
+	misses   int
 }
 
 func (s *server) addr() string {
@@ -373,6 +377,16 @@
 	if s.dialing || live >= connsEach || len(s.conns) >= connsMost {
 		return
 	}
+	if live == 0 && time.Now().Before(s.heldTill) {
+		// Its last dial failed just now: what waits for it is told at once that there is no
+		// connection, rather than after another dial's time (docs/results/standing.md, zone).
+		held := s.waiting
+		s.waiting = nil
+		for _, k := range held {
+			b.finish(k, choice.NoConnection, nil, "")
+		}
+		return
+	}
 	if b.conns >= b.MaxConns && !b.evict() {
 		if len(s.conns) == 0 {
 			b.failWaiting(s, errors.New("no descriptor left for a connection"))
@@ -426,15 +440,28 @@
 			nc.Close()
 		}
 		if err != nil {
+			s.misses++
+			s.heldTill = time.Now().Add(dialHold(b.dial.Timeout, s.misses))
 			b.failWaiting(s, err)
 		} else { // it has moved meanwhile
 			b.pump(s)
 		}
 		return
 	}
+	s.misses, s.heldTill = 0, time.Time{}
 	b.add(s, &conn{nc: nc, addr: addr})
 }
 
+// dialHold is how long no new dial goes to a server after misses failed dials in a
+// row: the dial time, doubled with each further miss, at most dialHoldMost.
+func dialHold(dial time.Duration, misses int) time.Duration {
+	hold := dial
+	for i := 1; i < misses && hold < dialHoldMost; i++ {
+		hold *= 2
+	}
+	return min(hold, dialHoldMost)
+}
+
 // add takes a connection that has come up.
 func (b *Back) add(s *server, c *conn) {
 	c.b, c.s, c.ready, c.usedAt, c.heardAt = b, s, sync.NewCond(&b.mu), time.Now(), time.Now()
