Log the mixer's own memory beside its counters every ten seconds

Change: a 'memory' line (component app) with held_kb (what the runtime has mapped less what it gave back), heap_kb, mapped_kb and goroutines, from runtime/metrics, on the counters' tick. No file is read.

--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -256,6 +256,7 @@
 		select {
 		case <-tick.C:
 			log.Info("counters", "", logs.Pairs(x.Counters.String()))
+			log.Info("memory", memoryPairs()...)
 		case err := <-served:
 			return fmt.Errorf("the listener ended: %w", err)
 		case s := <-signals:
