--- a/internal/back/leaf.go
+++ b/internal/back/leaf.go
@@ -380,11 +380,7 @@
 	if live == 0 && time.Now().Before(s.heldTill) {
 		// Its last dial failed just now: what waits for it is told at once that there is no
 		// connection, rather than after another dial's time (docs/results/standing.md, zone).
-		held := s.waiting
-		s.waiting = nil
-		for _, k := range held {
-			b.finish(k, choice.NoConnection, nil, "")
-		}
+		b.noConnection(s)
 		return
 	}
 	if b.conns >= b.MaxConns && !b.evict() {
@@ -422,6 +418,11 @@
 func (b *Back) failWaiting(s *server, err error) {
 	b.Exchange.Counters.DialFails.Add(1)
 	log.Warn("dial-failed", "server", s.name, "addr", s.addr(), "waiting", len(s.waiting), "err", err)
+	b.noConnection(s)
+}
+
+// noConnection ends what waits for a connection to s: it never ran.
+func (b *Back) noConnection(s *server) {
 	failed := s.waiting
 	s.waiting = nil
 	for _, k := range failed {
