Front: the connections' machinery apart from the platform's protocol

The system's proxy needs the same connections, pace and ends under another protocol. internal/front keeps the machinery and hands whole requests to a Protocol; the platform's form of queries and answers moved, unchanged, to internal/front/platform.

--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -24,6 +24,7 @@
 	"saddleport/internal/control"
 	"saddleport/internal/exchange"
 	"saddleport/internal/front"
+	"saddleport/internal/front/platform"
 	"saddleport/internal/hook"
 	"saddleport/internal/logs"
 	"saddleport/internal/source/consul"
@@ -228,18 +229,19 @@
 	for _, c := range cfg.settings.Router.Classes {
 		classes[c.Name] = true
 	}
-	f := front.New(front.Config{Exchange: x, MaxClients: cfg.sockets - spareFiles - leaves, Keep: cfg.sockets / keepShare,
-		Shards: cfg.settings.Router.Shards, Classes: classes, Pace: cfg.pace, Segments: m.feed != nil})
+	p := &platform.Protocol{Exchange: x, Shards: cfg.settings.Router.Shards, Classes: classes, Segments: m.feed != nil}
+	f := front.New(front.Config{Exchange: x, Protocol: p, MaxClients: cfg.sockets - spareFiles - leaves,
+		Keep: cfg.sockets / keepShare, Pace: cfg.pace})
 	if m.feed != nil { // segments are numbered as the map says
-		f.Shards, f.Ready = 0, m.feed.Held
+		p.Shards, p.Ready = 0, m.feed.Held
 	}
 	stop := make(chan struct{})
 	if m.members == nil {
 		b.Told(cfg.known, cfg.addrs)
 	} else {
-		ready := f.Ready
-		f.Members = m.members.page
-		f.Ready = func() bool { return m.members.Heard() && (ready == nil || ready()) }
+		ready := p.Ready
+		p.Members = m.members.page
+		p.Ready = func() bool { return m.members.Heard() && (ready == nil || ready()) }
 	}
 	go x.Run(b, stop)
 	go b.Run(stop)
--- a/internal/front/fuzz_test.go
+++ b/internal/front/platform/fuzz_test.go
@@ -1,4 +1,4 @@
-package front
+package platform
 
 // This file plays odd queries of clients, those recorded in testdata/fuzz/ and any
 // others. It must never open a socket.
@@ -18,7 +18,7 @@
 	f.Fuzz(func(t *testing.T, body, patience string) {
 		r := &httpwire.Request{Header: map[string][]string{"X-Trace-Id": {"q"}, "X-Qos": {"c"},
 			"X-Expires-In": {patience}}, Body: []byte(body)}
-		q, err := New(Config{MaxClients: 1, Shards: 6}).query(r, time.Now())
+		q, err := (&Protocol{Shards: 6}).query(r, time.Now())
 		if err != nil {
 			return
 		}
