Choice and exchange: classes that come and go, a budget per shard, news of the tier

The system's routes and services come and go with its configuration and its retry budget binds each service by itself. Classes and Tier events, Class.Attempts and Power, Settings.ExtraByShard; the exchange tells whether a query may have run and what failed.

--- a/choice/api.go
+++ b/choice/api.go
@@ -18,6 +18,7 @@
 // one the deployment did not tell.
 type Settings struct {
 	Classes      []Class
+	ClassesLater bool // they come by Classes events
 	Tenants      []Tenant
 	Routers      int    // routers in this tier, this one included
 	Resolution   Micros // least time between two batches
@@ -47,6 +48,7 @@
 	ExtraSpare    float64 // further attempts allowed in a window whatever the traffic
 	ExtraRatio    float64 // and per query and part taken in it
 	ExtraWindow   Micros
+	ExtraByShard  bool // they bind each shard's parts by themselves, not all together
 }
 
 // Class is a class of query.
@@ -61,8 +63,10 @@
 	Value      float64
 	Need       float64 // share of the first step's weight that makes a whole answer
 	Floor      float64 // least share for an answer that is not whole
-	Partial    float64 // such an answer earns this x share / Need
+	Partial    float64 // such an answer earns this x (share / Need) to the Power
+	Power      float64 // 0: 1
 	Fetch      int     // parts of the second step; 0: one step
+	Attempts   int     // per part; 0: Settings.AttemptCap
 }
 
 // Tenant is a customer and the traffic within its share, over all routers.
@@ -203,7 +207,19 @@
 	Bytes []byte
 }
 
+// Classes brings all classes anew: those of a name that stays keep what was learned.
+type Classes struct{ List []Class }
+
+// Tier brings news of the tier: how many routers it has, this one included, and what of
+// the extra budget's spare is this one's.
+type Tier struct {
+	Routers int
+	Spare   float64
+}
+
 func (List) event()        {}
+func (Classes) event()     {}
+func (Tier) event()        {}
 func (Query) event()       {}
 func (Part) event()        {}
 func (Outcome) event()     {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -116,9 +116,8 @@
 		return nil, err
 	}
 	r := empty(seed, set)
-	for i, c := range set.Classes {
-		aim := float64(c.Aim)
-		r.classes[c.Name] = &class{Class: c, n: i, mid: startMiddle * aim, high: startUpper * aim}
+	for _, c := range set.Classes {
+		r.classes[c.Name] = r.newClass(c)
 	}
 	for _, t := range set.Tenants {
 		r.shares[t.Name] = &bucket{rate: t.QuotaPerS / float64(max(set.Routers, 1)), left: 1}
@@ -126,6 +125,10 @@
 	return r, nil
 }
 
+func (r *Router) newClass(c Class) *class {
+	return &class{Class: c, n: r.number(), mid: startMiddle * float64(c.Aim), high: startUpper * float64(c.Aim)}
+}
+
 // Step takes the events of one moment and returns what to do, in order; it holds until the next Step.
 func (r *Router) Step(now Micros, events []Event) []Action {
 	r.now, r.acts, r.lateBy = now, r.acts[:0], max(now-r.wakeAt, 0)
@@ -152,7 +155,9 @@
 // ---- Queries: admission, answers, ends.
 
 func (r *Router) query(ev Query) {
-	r.took()
+	if !r.set.ExtraByShard {
+		r.took(&r.ledger)
+	}
 	c := r.classes[ev.Class]
 	if c == nil {
 		r.do(Refuse{ID: ev.ID})
@@ -188,7 +193,7 @@
 
 // part adds a part to its query; those of a second step are sent by pursue.
 func (r *Router) part(ev Part) {
-	r.took()
+	r.took(r.book(ev.Shard))
 	q := r.numbers[ev.Number]
 	if q == nil || q.ended {
 		return
@@ -333,7 +338,7 @@
 	q := a.p.q
 	r.connect(a)
 	timeout, try := q.endAt-r.now, Micros(q.class.high*overdueBy)
-	again := !r.set.ParallelTries && q.class.Effect != Unsafe && len(a.p.attempts) < r.set.AttemptCap
+	again := !r.set.ParallelTries && q.class.Effect != Unsafe && len(a.p.attempts) < r.mostAttempts(q.class)
 	if a.short = again && q.aimAt-r.now > 2*try; a.short { // no other may go out before this one is over
 		timeout = q.aimAt - r.now - try
 	}
@@ -406,7 +411,7 @@
 	coming += r.further(r.line(failed, false), must, q.need-coming)
 	// What is left of the budget goes to queries that few copies complete, of classes that are not slow as
 	// a whole: there all parts are late, and copies are work that the tier lacks.
-	few := float64(len(late)) <= max(1, r.budget(second)*lateShare)
+	few := len(late) > 0 && float64(len(late)) <= max(1, r.budget(late[0], second)*lateShare)
 	if few && q.class.mid < easyBelow*float64(q.class.Aim) {
 		coming += r.further(r.line(slices.DeleteFunc(late, r.once), false), second, q.need-coming)
 	}
@@ -429,7 +434,7 @@
 
 // repeatable tells whether the class's effect lets a further attempt of p out now.
 func (r *Router) repeatable(p *part) bool {
-	if len(p.attempts) >= r.set.AttemptCap {
+	if len(p.attempts) >= r.mostAttempts(p.q.class) {
 		return false
 	}
 	out, _ := p.pending()
@@ -457,13 +462,18 @@
 func (r *Router) further(line []*part, u use, want float64) (coming float64) {
 	for len(line) > 0 && coming < want-weightSlack {
 		again := len(line[0].attempts) > 0
-		if again && r.budget(u) < 1 {
-			return coming
+		if again && r.budget(line[0], u) < 1 {
+			if !r.set.ExtraByShard {
+				return coming
+			}
+			line = line[1:]
+			continue
 		}
 		g, rest, got := r.call(line, u, want-coming)
 		for _, p := range g {
 			if again {
-				r.extras = append(r.extras, r.now)
+				b := r.book(p.shard)
+				b.extras = append(b.extras, r.now)
 			}
 			r.send(p.attempts[len(p.attempts)-1])
 		}
@@ -474,7 +484,8 @@
 
 // budget is what is left for further attempts of the told budget, or of our own where none is
 // told, over any window: copies made in a trouble must not become the trouble.
-func (r *Router) budget(u use) float64 {
+func (r *Router) budget(p *part, u use) float64 {
+	b := r.book(p.shard)
 	span, free, ratio := Micros(copyWindow), copySpare, copyRatio
 	if u == must {
 		ratio = retryRatio
@@ -482,8 +493,8 @@
 	if r.set.ExtraBudget {
 		span, free, ratio = r.set.ExtraWindow, r.set.ExtraSpare, r.set.ExtraRatio
 	}
-	r.taken, r.extras = since(r.taken, r.now-span+1), since(r.extras, r.now-span)
-	return free + ratio*float64(len(r.taken)) - float64(len(r.extras))
+	b.taken, b.extras = since(b.taken, r.now-span+1), since(b.extras, r.now-span)
+	return free + ratio*float64(len(b.taken)) - float64(len(b.extras))
 }
 
 // overdue judges an attempt before its time-out fires. Late while the server serves
@@ -589,7 +600,7 @@
 	if q.ended || q.step == 2 && r.now < q.aimAt || c.Floor >= c.Need || q.got <= 0 || q.got < c.Floor {
 		return
 	}
-	if c.Partial*q.got/c.Need > c.LateWorth {
+	if c.Partial*math.Pow(q.got/c.Need, cmp.Or(c.Power, 1)) > c.LateWorth {
 		r.giveUp(q)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -214,13 +215,21 @@
 	askAt   Micros
 	askGap  Micros
 
-	taken   []Micros // queries and parts taken, for the budget
-	extras  []Micros // further attempts made
-	size    float64  // parts of a query, smoothed
-	missed  float64  // share of recent queries admitted that missed their aim
-	ready   int
-	binAt   Micros
-	bearing float64 // parts a second that one server of size 1 was seen to bear
+	ledger   ledger   // of all parts, or
+	ledgers  []ledger // of each shard's
+	free     []int    // numbers of classes that are gone
+	numbered int      // numbers given out
+	size     float64  // parts of a query, smoothed
+	missed   float64  // share of recent queries admitted that missed their aim
+	ready    int
+	binAt    Micros
+	bearing  float64 // parts a second that one server of size 1 was seen to bear
+}
+
+// ledger is what a budget of further attempts rests on.
+type ledger struct {
+	taken  []Micros // queries and parts taken
+	extras []Micros // further attempts made
 }
 
 // empty is a router that holds nothing yet.
@@ -238,9 +247,61 @@
 	}
 }
 
+// retune takes classes over: what was learned of a name that stays is kept, and the
+// number of one that is gone serves another. Queries of a class that is gone go on.
+func (r *Router) retune(list []Class) {
+	gone := r.classes
+	r.classes = make(map[string]*class, len(list))
+	for _, c := range list {
+		if old := gone[c.Name]; old != nil {
+			old.Class = c
+			r.classes[c.Name] = old
+			delete(gone, c.Name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(gone)) {
+		r.free = append(r.free, gone[name].n)
+	}
+	for _, c := range list {
+		if r.classes[c.Name] == nil {
+			r.classes[c.Name] = r.newClass(c)
+		}
+	}
+	r.set.Classes = list
+}
+
+// number gives a class its number, one that is free before a new one.
+func (r *Router) number() int {
+	n := r.numbered
+	if last := len(r.free) - 1; last >= 0 {
+		n, r.free = r.free[last], r.free[:last]
+	} else {
+		r.numbered++
+	}
+	for _, s := range r.servers {
+		for len(s.blames) <= n {
+			s.blames, s.served = append(s.blames, 0), append(s.served, 0)
+		}
+		s.blames[n], s.served[n] = 0, 0
+	}
+	return n
+}
+
+// book is the ledger that a part of a shard stands in.
+func (r *Router) book(shard int) *ledger {
+	if !r.set.ExtraByShard {
+		return &r.ledger
+	}
+	n := shard % r.set.Cells
+	for len(r.ledgers) <= n {
+		r.ledgers = append(r.ledgers, ledger{})
+	}
+	return &r.ledgers[n]
+}
+
 func check(set Settings) error {
 	switch {
-	case len(set.Classes) == 0:
+	case len(set.Classes) == 0 && !set.ClassesLater:
 		return fmt.Errorf("setting Classes: none told")
 	case set.Cells < 1:
 		return fmt.Errorf("setting Cells: %d is less than 1", set.Cells)
@@ -278,6 +339,10 @@
 		r.part(ev)
 	case Outcome:
 		r.outcome(ev)
+	case Classes:
+		r.retune(ev.List)
+	case Tier:
+		r.set.Routers, r.set.ExtraSpare = ev.Routers, ev.Spare
 	case ClientLeft:
 		if q := r.queries[ev.ID]; q != nil {
 			r.end(q)
@@ -350,7 +415,7 @@
 
 // add takes a new server in, in the order of names, so that the draw doesn't hang on the list's.
 func (r *Router) add(row Server) *server {
-	n := len(r.set.Classes)
+	n := r.numbered
 	s := &server{Server: row, pace: 1, blames: make([]int, n), served: make([]Micros, n)}
 	s.groups = []*group{labelled(&r.zones, row.Zone), labelled(&r.kinds, row.Kind)}
 	s.State = Gone
@@ -598,16 +663,24 @@
 
 // took notes a query or a part taken. What no budget asks for any more goes before
 // the list grows.
-func (r *Router) took() {
-	if len(r.taken) == cap(r.taken) {
+func (r *Router) took(b *ledger) {
+	if len(b.taken) == cap(b.taken) {
 		span := Micros(copyWindow)
 		if r.set.ExtraBudget {
 			span = r.set.ExtraWindow
 		}
-		live := since(r.taken, r.now-span+1)
-		if len(live) <= len(r.taken)/2 {
-			r.taken = r.taken[:copy(r.taken, live)]
+		live := since(b.taken, r.now-span+1)
+		if len(live) <= len(b.taken)/2 {
+			b.taken = b.taken[:copy(b.taken, live)]
 		}
 	}
-	r.taken = append(r.taken, r.now)
+	b.taken = append(b.taken, r.now)
+}
+
+// mostAttempts is how many attempts a part of a class may have.
+func (r *Router) mostAttempts(c *class) int {
+	if c.Attempts > 0 {
+		return min(c.Attempts, r.set.AttemptCap)
+	}
+	return r.set.AttemptCap
 }
--- a/choice/symptoms_test.go
+++ b/choice/symptoms_test.go
@@ -389,7 +389,7 @@
 	})
 	g.step()
 	used := g.now - 10*sec + 600*ms // both come back when all parts below are late
-	g.r.extras = []Micros{used, used}
+	g.r.ledger.extras = []Micros{used, used}
 	_, heavy := g.ask("all", 0, 1, 2, 3)
 	g.step(heavy...)
 	_, near := g.ask("all", 0, 1, 2, 3)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 package exchange
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"strconv"
@@ -35,6 +36,7 @@
 	TakenAt  time.Time     // when its first byte was seen
 	Patience time.Duration // how long the client waits, from TakenAt
 	Parts    []Part
+	Least    float64 // share that will do where there is no room for the class's; 0: none less
 	// Done gets the one final answer, on the exchange's goroutine: it must not block.
 	Done func(Final)
 }
@@ -68,6 +70,8 @@
 	Hits       []Hit
 	RetryAfter time.Duration // 0: no advice
 	Reason     string        // a hook's word on a refusal or a failure
+	Failure    string        // where there is no answer: the value of the last that a server failed with
+	Ran        bool          // an attempt may have run
 	Notes      []hookabi.Pair
 }
 
@@ -131,6 +135,7 @@
 	served   bool
 	dropped  bool // a hook does not want it
 	value    string
+	failure  string // of an attempt that its server failed
 
 	// Where segments are routed by a map.
 	target   *placement.Target
@@ -344,6 +349,19 @@
 	})
 }
 
+// Retune brings all classes anew, for queries that come after it.
+func (x *Exchange) Retune(classes []choice.Class) {
+	x.post(func() {
+		x.set.Router.Classes = classes
+		x.events = append(x.events, choice.Classes{List: classes})
+	})
+}
+
+// Tiered hands in news of the tier.
+func (x *Exchange) Tiered(t choice.Tier) {
+	x.post(func() { x.events = append(x.events, t) })
+}
+
 // ---- The owner's goroutine.
 
 // Run serves until stop is closed. What is open then is left without an answer.
@@ -510,7 +528,7 @@
 			scale = need / (1 - gone)
 		}
 	}
-	if h.eased != nil {
+	if ev.Least = q.Least; h.eased != nil {
 		ev.Least = h.eased.need
 	}
 	at := len(x.events)
@@ -689,6 +707,8 @@
 	x.Counters.Outcomes[v].Add(1)
 	if v == choice.Served && !p.q.ended {
 		p.served, p.value = true, value
+	} else if v == choice.ServerError {
+		p.failure = value
 	}
 	if epoch, away := moved(p, v, load); away && !p.q.ended {
 		x.turned(a, epoch)
@@ -727,6 +747,12 @@
 	if h.watched != nil {
 		f.Notes = h.watched.notes
 	}
+	if f.Ending != Answered {
+		f.Ran = mayHaveRun(h)
+		for _, p := range h.parts {
+			f.Failure = cmp.Or(f.Failure, p.failure)
+		}
+	}
 	if x.levels != nil {
 		x.levels.weigh(x, h, f)
 	}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -52,22 +52,30 @@
 
 // Reader reads the messages of one connection.
 type Reader struct {
-	limit *bounded
-	buf   *bufio.Reader
-	text  *textproto.Reader
+	limit            *bounded
+	buf              *bufio.Reader
+	text             *textproto.Reader
+	maxHead, maxBody int
 }
 
-// NewReader reads messages from r.
-func NewReader(r io.Reader) *Reader {
+// NewReader reads messages from r, within MaxHead and MaxBody.
+func NewReader(r io.Reader) *Reader { return NewReaderOf(r, 4096, MaxHead, MaxBody) }
+
+// NewReaderOf reads messages from r through a buffer of so many bytes, within bounds of
+// the caller's, in bytes.
+func NewReaderOf(r io.Reader, buffer, maxHead, maxBody int) *Reader {
 	limit := &bounded{r: r}
-	buf := bufio.NewReader(limit)
-	return &Reader{limit: limit, buf: buf, text: textproto.NewReader(buf)}
+	buf := bufio.NewReaderSize(limit, buffer)
+	return &Reader{limit: limit, buf: buf, text: textproto.NewReader(buf), maxHead: maxHead, maxBody: maxBody}
 }
 
+// Buffered counts the bytes that came and belong to no message read so far.
+func (r *Reader) Buffered() int { return r.buf.Buffered() }
+
 // Await returns once the next message has begun; at the connection's end it
 // returns the reader's error.
 func (r *Reader) Await() error {
-	r.limit.left = MaxHead // body allows more once the head has told how much
+	r.limit.left = r.maxHead // body allows more once the head has told how much
 	_, err := r.buf.Peek(1)
 	return err
 }
@@ -75,6 +83,7 @@
 // Request is a request's head and body.
 type Request struct {
 	Method, Path string
+	Target       string // the path with its query, as it came
 	Header       textproto.MIMEHeader
 	Body         []byte
 	KeepAlive    bool
@@ -102,7 +111,7 @@
 		}
 		return nil, bad("malformed request line")
 	}
-	q := &Request{Method: method}
+	q := &Request{Method: method, Target: target}
 	q.Path, _, _ = strings.Cut(target, "?")
 	if q.Header, err = r.head(); err != nil {
 		return nil, err
@@ -111,7 +120,7 @@
 		return nil, bad("one Host header is needed")
 	}
 	q.KeepAlive = keepAlive(proto, q.Header)
-	length, chunked, err := framing(q.Header)
+	length, chunked, err := framing(q.Header, r.maxBody)
 	if err != nil {
 		return nil, err
 	}
@@ -133,7 +142,10 @@
 }
 
 // Response reads the response to a GET.
-func (r *Reader) Response() (*Response, error) {
+func (r *Reader) Response() (*Response, error) { return r.ResponseTo("GET") }
+
+// ResponseTo reads the response to a method.
+func (r *Reader) ResponseTo(to string) (*Response, error) {
 	line, err := r.start()
 	if err != nil {
 		return nil, err
@@ -149,17 +161,17 @@
 		return nil, err
 	}
 	p.KeepAlive = keepAlive(proto, p.Header)
-	length, chunked, err := framing(p.Header)
+	length, chunked, err := framing(p.Header, r.maxBody)
 	if err != nil {
 		return nil, err
 	}
 	switch {
-	case status == 204 || status == 304:
+	case status == 204 || status == 304 || to == "HEAD":
 	case length < 0 && !chunked: // ends with the connection
 		p.KeepAlive = false
-		r.limit.left = MaxBody + 1
-		p.Body, err = io.ReadAll(io.LimitReader(r.buf, MaxBody+1))
-		if err == nil && len(p.Body) > MaxBody {
+		r.limit.left = r.maxBody + 1
+		p.Body, err = io.ReadAll(io.LimitReader(r.buf, int64(r.maxBody)+1))
+		if err == nil && len(p.Body) > r.maxBody {
 			err = &Error{413, "body too large"}
 		}
 	default:
@@ -199,7 +211,7 @@
 			size += len(name) + len(v)
 		}
 	}
-	if size > MaxHead {
+	if size > r.maxHead {
 		return nil, &Error{413, "head too large"}
 	}
 	return h, nil
@@ -231,7 +243,7 @@
 
 // framing finds how a body ends: by a length (-1: none told) or by chunks. Two
 // ends at once, or two lengths, are how one message is made to look like two.
-func framing(h textproto.MIMEHeader) (length int, chunked bool, err error) {
+func framing(h textproto.MIMEHeader, most int) (length int, chunked bool, err error) {
 	lengths, codings := h["Content-Length"], h["Transfer-Encoding"]
 	if len(codings) > 0 {
 		if len(lengths) > 0 {
@@ -249,7 +261,7 @@
 		return 0, false, bad("two lengths")
 	}
 	n, err := strconv.ParseUint(lengths[0], 10, 63)
-	if errors.Is(err, strconv.ErrRange) || err == nil && n > MaxBody {
+	if errors.Is(err, strconv.ErrRange) || err == nil && n > uint64(most) {
 		return 0, false, &Error{413, "body too large"}
 	}
 	if err != nil {
@@ -260,6 +272,9 @@
 
 func (r *Reader) body(length int, chunked bool) ([]byte, error) {
 	if !chunked {
+		if length == 0 {
+			return nil, nil
+		}
 		// Room is made for what has come, not for what was announced.
 		r.limit.left = length
 		body, err := io.ReadAll(io.LimitReader(r.buf, int64(length)))
@@ -268,7 +283,7 @@
 		}
 		return body, err
 	}
-	r.limit.left = 2 * MaxBody // chunks of a few bytes each bring as much again
+	r.limit.left = 2 * r.maxBody // chunks of a few bytes each bring as much again
 	var body []byte
 	for {
 		line, err := r.text.ReadLine()
@@ -277,7 +292,7 @@
 		}
 		size, _, _ := strings.Cut(line, ";")
 		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
-		if errors.Is(err, strconv.ErrRange) || err == nil && int(n)+len(body) > MaxBody {
+		if errors.Is(err, strconv.ErrRange) || err == nil && int(n)+len(body) > r.maxBody {
 			return nil, &Error{413, "body too large"}
 		}
 		if err != nil {
