--- a/choice/choice.go
+++ b/choice/choice.go
@@ -272,16 +272,17 @@
 // planAll finds servers for enough parts, or undoes what it planned. It may be let overfill windows:
 // while parts take far less than their aim, a refusal costs more than the wait behind a full window does.
 func (r *Router) planAll(q *query, overfill bool) (rest []*part, ok bool) {
-	weight := 0.0
+	weight, want := 0.0, max(q.need, q.class.Need)
 	line := r.line(q.parts, true)
-	for r.plans++; len(line) > 0 && weight < q.need-weightSlack; {
-		_, left, got := r.call(line, first, q.need-weight)
+	for r.plans++; len(line) > 0 && weight < want-weightSlack; {
+		_, left, got := r.call(line, first, want-weight)
 		if got == 0 && overfill {
-			_, left, got = r.call(line, over, q.need-weight)
+			_, left, got = r.call(line, over, want-weight)
 		}
 		line, weight = left, weight+got
 	}
 	if weight >= q.need-weightSlack {
+		q.need = min(weight, want) // where less will do, what found room is still wanted
 		return line, true
 	}
 	q.unplan(0)
--- /dev/null
+++ b/cmd/keel/main.go
@@ -0,0 +1,6 @@
+// Command keel is a core process.
+package main
+
+import "saddleport/internal/weave/command"
+
+func main() { command.Main(command.Keel) }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -36,6 +36,7 @@
 	TakenAt  time.Time     // when its first byte was seen
 	Patience time.Duration // how long the client waits, from TakenAt
 	Parts    []Part
+	Gather   bool    // its answer is made of its parts'
 	Least    float64 // share that will do where there is no room for the class's; 0: none less
 	// Done gets the one final answer, on the exchange's goroutine: it must not block.
 	Done func(Final)
@@ -108,6 +109,12 @@
 	neverRan bool // it has ended, and never ran
 }
 
+// QueryID is the id of the query that an attempt is for.
+func (a *Attempt) QueryID() string { return a.part.q.ID }
+
+// Gather tells whether the query that an attempt is for has several parts.
+func (a *Attempt) Gather() bool { return a.part.q.Gather }
+
 // Leaves is the client side. Its methods must not block; each attempt that is
 // sent must come back by Ended, soon after GiveUp at the latest.
 type Leaves interface {
--- /dev/null
+++ b/internal/fabric/charter/charter.go
@@ -0,0 +1,239 @@
+// Package charter owns a configuration of the operators': it is checked whole, routes
+// are found in it, and of two the one with the higher version counts. It must never edit
+// an operator's bytes, take anything that can't be read whole, or go back to an older
+// version.
+package charter
+
+import (
+	"strings"
+	"time"
+
+	"saddleport/internal/paths"
+)
+
+// Charter is a configuration that was found valid.
+type Charter struct {
+	Revision int64
+	Raw      []byte // as it was sent
+	Routes   []*Route
+	Services map[string]*Service
+	Limits   Limits
+
+	hosts map[string]map[string]*Route // by host and prefix
+}
+
+// Route says what becomes of the requests of a host below a prefix. Exactly one of
+// Backends and Fanout is filled.
+type Route struct {
+	Name, Host, Prefix string
+	Repeatable         bool
+	Timeout, Aim       time.Duration // Aim is 0 where none was told
+	Priority           int
+	Attempts           int
+	Backends           []Backend
+	Fanout             []string // the shards of a gathered answer
+	Limit              int      // records of a gathered answer
+	Least              float64  // share of the shards without which it is no success
+}
+
+// Backend is a service and its weight beside the others of its route.
+type Backend struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a service that routes name.
+type Service struct {
+	Name     string
+	Health   string
+	MaxConns int
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	MaxHead, MaxBody   int
+	HeadTime, IdleTime time.Duration
+}
+
+// The limits where a configuration tells none.
+var Usual = Limits{MaxHead: 16 << 10, MaxBody: 256 << 10, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second}
+
+const (
+	mostRoutes = 20_000
+	mostShards = 256
+)
+
+func span(r paths.Reader) time.Duration {
+	ms := r.Number()
+	if ms < 0 || ms > 1e9 {
+		r.Failf("%v ms is out of bounds", ms)
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Read checks a configuration whole. What is wrong is told by its path.
+func Read(raw []byte) (*Charter, error) {
+	root, err := paths.JSON(raw)
+	if err != nil {
+		return nil, err
+	}
+	root.Object()
+	c := &Charter{Raw: raw, Services: make(map[string]*Service), hosts: make(map[string]map[string]*Route), Limits: Usual}
+	c.Revision = root.At("revision").Must().Int()
+	for _, at := range root.At("services").Must().Items() {
+		s := &Service{Name: at.Object().At("name").Must().Text(), Health: at.At("health_check_path").Text(),
+			MaxConns: int(at.At("max_connections").Int())}
+		if c.Services[s.Name] != nil {
+			at.At("name").Failf("%.60q stands twice", s.Name)
+		}
+		c.Services[s.Name] = s
+	}
+	routes := root.At("routes").Must().Items()
+	if len(routes) > mostRoutes {
+		root.At("routes").Failf("%d are more than %d", len(routes), mostRoutes)
+	}
+	for _, at := range routes {
+		if root.Err() != nil {
+			break
+		}
+		c.route(at)
+	}
+	c.limits(root.At("limits"))
+	if err := root.Err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Charter) limits(at paths.Reader) {
+	if !at.Is() {
+		return
+	}
+	at.Object()
+	l := &c.Limits
+	if v := at.At("max_header_bytes"); v.Is() {
+		l.MaxHead = int(v.Int())
+	}
+	if v := at.At("max_body_bytes"); v.Is() {
+		l.MaxBody = int(v.Int())
+	}
+	if v := at.At("header_timeout_ms"); v.Is() {
+		l.HeadTime = span(v)
+	}
+	if v := at.At("idle_timeout_ms"); v.Is() {
+		l.IdleTime = span(v)
+	}
+	if l.MaxHead < 0 || l.MaxBody < 0 {
+		at.Failf("a bound is below 0")
+	}
+}
+
+func (c *Charter) service(at paths.Reader) string {
+	name := at.Must().Text()
+	if c.Services[name] == nil {
+		at.Failf("there is no service %.60q", name)
+	}
+	return name
+}
+
+func (c *Charter) route(at paths.Reader) {
+	at.Object()
+	r := &Route{Name: at.At("name").Text(), Host: strings.ToLower(at.At("hostname").Must().Text()),
+		Prefix: at.At("path_prefix").Must().Text(), Priority: int(at.At("priority").Int()),
+		Attempts: max(int(at.At("max_attempts").Int()), 1), Limit: int(at.At("result_limit").Int())}
+	switch kind := at.At("route_type").Must().Text(); kind {
+	case "idempotent":
+		r.Repeatable = true
+	case "non_idempotent":
+	default:
+		at.At("route_type").Failf("%.40q is neither idempotent nor non_idempotent", kind)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		at.At("path_prefix").Failf("%.60q does not start and end with a slash", r.Prefix)
+	}
+	if r.Timeout = span(at.At("timeout_ms").Must()); r.Timeout <= 0 {
+		at.At("timeout_ms").Failf("is 0")
+	}
+	r.Aim = span(at.At("target_latency_ms"))
+	told := 0
+	if t := at.At("target_service"); t.Is() {
+		told++
+		r.Backends = []Backend{{Service: c.service(t), Weight: 1}}
+	}
+	if b := at.At("backends"); b.Is() {
+		told++
+		sum := 0.0
+		for _, item := range b.Items() {
+			name := item.Object().At("service")
+			for _, other := range []string{"target_service", "name"} { // the pages give no example
+				if !name.Is() {
+					name = item.At(other)
+				}
+			}
+			x := Backend{Service: c.service(name), Weight: item.At("weight").Number()}
+			if x.Weight < 0 {
+				item.At("weight").Failf("is below 0")
+			}
+			sum += x.Weight
+			r.Backends = append(r.Backends, x)
+		}
+		if sum <= 0 {
+			b.Failf("the weights sum to 0")
+		}
+	}
+	if f := at.At("fanout_services"); f.Is() {
+		told++
+		seen := make(map[string]bool)
+		for _, item := range f.Items() {
+			name := c.service(item)
+			if seen[name] {
+				item.Failf("%.60q stands twice", name)
+			}
+			seen[name] = true
+			r.Fanout = append(r.Fanout, name)
+		}
+		if len(r.Fanout) == 0 || len(r.Fanout) > mostShards {
+			f.Failf("%d shards are not within 1 to %d", len(r.Fanout), mostShards)
+		}
+		r.Least = at.At("min_success_ratio").Number()
+		if r.Least < 0 || r.Least > 1 {
+			at.At("min_success_ratio").Failf("%v is no share", r.Least)
+		}
+	}
+	if told != 1 {
+		at.Failf("%d of target_service, backends and fanout_services are there; one is needed", told)
+	}
+	host := c.hosts[r.Host]
+	if host == nil {
+		host = make(map[string]*Route)
+		c.hosts[r.Host] = host
+	}
+	if other := host[r.Prefix]; other != nil {
+		at.Failf("host %.60q and prefix %.60q are those of %.60q too", r.Host, r.Prefix, other.Name)
+	}
+	host[r.Prefix] = r
+	c.Routes = append(c.Routes, r)
+}
+
+// Match finds the route of a request, nil where there is none: of the routes of its host
+// the one with the longest prefix that begins the path.
+func (c *Charter) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	prefixes := c.hosts[host]
+	if prefixes == nil {
+		prefixes = c.hosts[strings.ToLower(host)]
+	}
+	for i := len(path) - 1; i >= 0 && prefixes != nil; i-- { // prefixes end with a slash
+		if path[i] == '/' {
+			if r := prefixes[path[:i+1]]; r != nil {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// Newer tells whether c counts beside what was held, which may be nil.
+func (c *Charter) Newer(held *Charter) bool { return held == nil || c.Revision > held.Revision }
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -319,6 +320,14 @@
 	408: "Request Timeout", 413: "Content Too Large", 501: "Not Implemented", 502: "Bad Gateway",
 	503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
 
+// Reason is the words of a status.
+func Reason(status int) string {
+	if r := reasons[status]; r != "" {
+		return r
+	}
+	return http.StatusText(status)
+}
+
 // Field is one header line.
 type Field struct{ Name, Value string }
 
--- /dev/null
+++ b/internal/weave/calls/calls.go
@@ -0,0 +1,196 @@
+// Package calls is the one generic handler between processes: a call and its answer are a
+// pair of types, carried as JSON over HTTP/1.1. It owns the sizes, the deadlines and the
+// statuses of calls. It must never take a body over its bound, wait without a deadline, or
+// know what a call means.
+package calls
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"saddleport/internal/weave/link"
+)
+
+// Error is the class of failed calls.
+var Error = errs.Class("call")
+
+// Call declares a call: its path, which may end in a name in braces, and who may call it.
+type Call[Req, Ans any] struct {
+	Method string
+	Path   string
+	Most   int64  // bytes of a request's body, and of an answer's
+	Who    string // for the docs
+}
+
+// Outcome is a status that is no 200, as a value.
+type Outcome struct {
+	Status   int
+	Reason   string
+	Location string        // of a 307
+	Retry    time.Duration // Retry-After
+}
+
+func (o *Outcome) Error() string { return fmt.Sprintf("status %d: %s", o.Status, o.Reason) }
+
+// Fail makes an outcome.
+func Fail(status int, format string, args ...any) *Outcome {
+	return &Outcome{Status: status, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Raw is a request or an answer whose bytes are carried as they are.
+type Raw []byte
+
+// Named is the name that a call's path ends in, and who called.
+type Named struct {
+	Name string
+	Peer string
+}
+
+const (
+	readHead  = 2 * time.Second
+	readBody  = 5 * time.Second
+	writeTime = 5 * time.Second
+	idleTime  = 60 * time.Second
+	mostHead  = 8 << 10
+)
+
+// On has f answer a call.
+func (c Call[Req, Ans]) On(mux *http.ServeMux, f func(ctx context.Context, who Named, req Req) (Ans, error)) {
+	mux.HandleFunc(c.Method+" "+c.Path, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.Most))
+		if err != nil {
+			var large *http.MaxBytesError
+			if errors.As(err, &large) {
+				reply(w, Fail(http.StatusRequestEntityTooLarge, "more than %d bytes", c.Most))
+			} else {
+				reply(w, Fail(http.StatusBadRequest, "the body did not come whole"))
+			}
+			return
+		}
+		var req Req
+		if raw, ok := any(&req).(*Raw); ok {
+			*raw = body
+		} else if len(body) > 0 {
+			if err := json.Unmarshal(body, &req); err != nil {
+				reply(w, Fail(http.StatusBadRequest, "%v", err))
+				return
+			}
+		}
+		ans, err := f(r.Context(), Named{Name: r.PathValue("name"), Peer: r.RemoteAddr}, req)
+		if err != nil {
+			var out *Outcome
+			if !errors.As(err, &out) {
+				out = Fail(http.StatusServiceUnavailable, "%v", err)
+			}
+			reply(w, out)
+			return
+		}
+		text, ok := any(ans).(Raw)
+		if !ok {
+			if text, err = json.Marshal(ans); err != nil {
+				reply(w, Fail(http.StatusInternalServerError, "%v", err))
+				return
+			}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		w.Write(text)
+	})
+}
+
+func reply(w http.ResponseWriter, o *Outcome) {
+	if o.Location != "" {
+		w.Header().Set("Location", o.Location)
+	}
+	if o.Retry > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(o.Retry.Seconds(), 'f', -1, 64))
+	}
+	text := o.Reason + "\n"
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(o.Status)
+	io.WriteString(w, text)
+}
+
+// Ask calls a process at host:port.
+func (c Call[Req, Ans]) Ask(ctx context.Context, via *Client, addr, name string, req Req) (ans Ans, err error) {
+	var body []byte
+	if raw, ok := any(req).(Raw); ok {
+		body = raw
+	} else if body, err = json.Marshal(req); err != nil {
+		return ans, Error.Wrap(err)
+	}
+	path := c.Path
+	if i := bytes.IndexByte([]byte(path), '{'); i >= 0 {
+		path = path[:i] + name
+	}
+	r, err := http.NewRequestWithContext(ctx, c.Method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return ans, Error.Wrap(err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	p, err := via.http.Do(r)
+	if err != nil {
+		return ans, Error.Wrap(err)
+	}
+	defer p.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(p.Body, c.Most+1))
+	switch {
+	case err != nil:
+		return ans, Error.Wrap(err)
+	case int64(len(text)) > c.Most:
+		return ans, Error.New("%s: an answer of more than %d bytes", addr, c.Most)
+	case p.StatusCode != http.StatusOK:
+		return ans, &Outcome{Status: p.StatusCode, Reason: string(bytes.TrimSpace(text[:min(len(text), 200)])),
+			Location: p.Header.Get("Location")}
+	}
+	if raw, ok := any(&ans).(*Raw); ok {
+		*raw = text
+		return ans, nil
+	}
+	return ans, Error.Wrap(json.Unmarshal(text, &ans))
+}
+
+// Client keeps connections to other processes, a bounded number.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client that dials within a time.
+func NewClient(dial time.Duration) *Client {
+	return &Client{http: &http.Client{
+		Transport: &http.Transport{DialContext: link.Dialer(dial).DialContext, MaxIdleConns: 64, MaxIdleConnsPerHost: 2,
+			MaxConnsPerHost: 8, IdleConnTimeout: idleTime / 2, DisableCompression: true, WriteBufferSize: 4 << 10,
+			ReadBufferSize: 4 << 10, ResponseHeaderTimeout: 10 * time.Second},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Serve answers calls on a listener until ctx ends.
+func Serve(ctx context.Context, ln net.Listener, h http.Handler, write time.Duration) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHead, ReadTimeout: readBody, IdleTimeout: idleTime,
+		MaxHeaderBytes: mostHead, WriteTimeout: max(write, writeTime)}
+	stop := context.AfterFunc(ctx, func() {
+		end, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if s.Shutdown(end) != nil {
+			s.Close()
+		}
+	})
+	defer stop()
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return Error.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/weave/command/command.go
@@ -0,0 +1,57 @@
+// Package command is what the system's programs have in common: their command lines,
+// their logs, their signals and their limits. It must never hold anything of what one
+// program does.
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"saddleport/internal/weave/role"
+)
+
+// Program is one of the system's programs.
+type Program struct {
+	Name, Short string
+	Run         func(context.Context, *role.Boot) error
+	Garbage     int // GOGC
+}
+
+// The programs.
+var (
+	Tide = Program{Name: "tide", Short: "the proxy: takes clients' requests and answers them", Run: role.Tide, Garbage: 100}
+	Echo = Program{Name: "echo", Short: "the agent beside a proxy: keeps the link to the control plane", Run: role.Echo, Garbage: 50}
+	Keel = Program{Name: "keel", Short: "a core process: takes heartbeats and configurations", Run: role.Keel, Garbage: 50}
+)
+
+const memoryShare = 0.6 // of the limit: from there on the collector works harder
+
+// Main runs a program's command line.
+func Main(p Program) {
+	root := &cobra.Command{Use: p.Name, Short: p.Short, SilenceUsage: true, SilenceErrors: true}
+	file := root.PersistentFlags().String("settings", os.Getenv(role.Variable), "the settings file; "+role.Variable+" names it too")
+	root.AddCommand(&cobra.Command{Use: "run", Short: "Run " + p.Short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		boot, err := role.Load(*file)
+		if err != nil {
+			return err
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		signal.Ignore(syscall.SIGHUP)
+		runtime.GOMAXPROCS(1)
+		debug.SetGCPercent(p.Garbage)
+		debug.SetMemoryLimit(int64(float64(boot.MemoryMB) * memoryShare * (1 << 20)))
+		return p.Run(ctx, boot)
+	}})
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, p.Name+":", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/weave/role/boot.go
@@ -0,0 +1,115 @@
+// Package role holds one loop a process: it takes what I/O brings, steps the pure
+// machines, and does what they say. It is the only place that knows them all. It must
+// never decide what a machine decides.
+package role
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"saddleport/internal/paths"
+)
+
+// Boot is what a process is told at its start.
+type Boot struct {
+	Name, Role, IP, Zone, Region string
+	Regions                      map[string]string // by zone
+	Front, Ready, Control        string            // addresses to listen on; "": none
+	Port, LastPort               int               // of the range between processes
+	Seeds                        []string
+	Bootstrap, Counts            bool
+	MemoryMB, Files              int
+	Cores                        float64
+	Dir                          string
+	Beat                         time.Duration
+	Faults                       int // machines that may be lost at once
+	Bounds                       Bounds
+}
+
+// Bounds are the figures of the rules.
+type Bounds struct {
+	SeedLag, Reuse, Contact, Ack, CatchUp, Drain, Grace, LossSlack, Apply, Downgrade, Stretch, RetryWindow time.Duration
+	RetryRatio, RetrySlack                                                                                 float64
+}
+
+// Variable names the environment's variable that holds the settings file's path.
+const Variable = "SADDLEPORT_CONFIG"
+
+// Load reads the settings file.
+func Load(file string) (*Boot, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, paths.Error.Wrap(err)
+	}
+	b, err := ParseBoot(string(text))
+	if err != nil {
+		return nil, paths.Error.New("%s: %v", file, err)
+	}
+	return b, nil
+}
+
+// ParseBoot reads a settings file's text.
+func ParseBoot(text string) (*Boot, error) {
+	r, err := paths.Lines(text)
+	if err != nil {
+		return nil, err
+	}
+	ms := func(path string) time.Duration { return time.Duration(r.At(path).Number() * float64(time.Millisecond)) }
+	s := func(path string) time.Duration { return time.Duration(r.At(path).Number() * float64(time.Second)) }
+	b := &Boot{
+		Name: r.At("node_name").Must().Text(), Role: r.At("role").Text(), IP: r.At("ip_address").Must().Text(),
+		Zone: r.At("zone").Text(), Region: r.At("region").Text(), Regions: make(map[string]string),
+		Front: r.At("listen_addresses.front").Text(), Ready: r.At("listen_addresses.readiness").Text(),
+		Control:   r.At("listen_addresses.control_plane").Text(),
+		Bootstrap: r.At("bootstrap").Bool(), Counts: r.At("counts_toward_quorum").Bool(),
+		MemoryMB: int(r.At("limits.memory_mb").Int()), Files: int(r.At("limits.max_open_files").Int()),
+		Cores: r.At("limits.cpu_cores").Number(), Dir: r.At("data_directory").Text(), Beat: ms("heartbeat_interval_ms"),
+		Faults: int(r.At("fault_tolerance.machines").Int()),
+		Bounds: Bounds{SeedLag: s("bounds.seed_lag_s"), Reuse: s("bounds.address_reuse_s"), Contact: ms("bounds.contact_ms"),
+			Ack: ms("bounds.ack_timeout_ms"), CatchUp: s("bounds.catch_up_s"), Drain: ms("bounds.drain_ms"),
+			Grace: s("bounds.grace_s"), LossSlack: ms("bounds.loss_slack_ms"), Apply: ms("bounds.config_apply_ms"),
+			Downgrade: ms("bounds.downgrade_slack_ms"), Stretch: ms("bounds.max_stretch_ms"),
+			RetryWindow: s("bounds.retry_window_s"), RetryRatio: r.At("bounds.retry_budget_ratio").Number(),
+			RetrySlack: r.At("bounds.retry_budget_slack").Number()},
+	}
+	for _, zone := range r.At("zones").Names() {
+		b.Regions[zone] = r.At("zones." + zone).Text()
+	}
+	ports := r.At("internal_port_range").Must()
+	if list := ports.Items(); len(list) == 2 {
+		b.Port, b.LastPort = int(list[0].Int()), int(list[1].Int())
+	}
+	if b.Port < 1 || b.LastPort < b.Port+1 || b.LastPort > 65535 {
+		ports.Failf("two ports, of which the second is greater, are needed")
+	}
+	for _, seed := range r.At("seed_addresses").Items() {
+		if _, _, err := net.SplitHostPort(seed.Text()); err != nil {
+			seed.Failf("%v", err)
+		}
+		b.Seeds = append(b.Seeds, seed.Text())
+	}
+	if net.ParseIP(b.IP) == nil {
+		r.At("ip_address").Failf("%.40q is no address", b.IP)
+	}
+	return b, r.Err()
+}
+
+// Inner is where a process that talks to others listens; Loop where an agent feeds its
+// proxy.
+func (b *Boot) Inner() string { return net.JoinHostPort(b.IP, strconv.Itoa(b.Port)) }
+
+// Loop is the agent's address on its own machine.
+func (b *Boot) Loop() string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(b.Port+1)) }
+
+// SeedPeers are the addresses between processes of the machines that the seeds name.
+func (b *Boot) SeedPeers() []string {
+	var out []string
+	for _, seed := range b.Seeds {
+		host, _, _ := strings.Cut(seed, ":")
+		out = append(out, net.JoinHostPort(host, strconv.Itoa(b.Port)))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/weave/role/tide.go
@@ -0,0 +1,243 @@
+package role
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"saddleport/choice"
+	"saddleport/internal/back/reach"
+	"saddleport/internal/exchange"
+	"saddleport/internal/fabric/charter"
+	"saddleport/internal/fabric/roster"
+	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/front"
+	"saddleport/internal/front/gate"
+	"saddleport/internal/settings"
+	"saddleport/internal/weave/calls"
+	"saddleport/internal/weave/link"
+)
+
+const (
+	spareFiles   = 232 // descriptors that are not for connections
+	leafShare    = 4   // of the rest, one in so many is for servers
+	mostHeld     = 20_000
+	feedPause    = 200 * time.Millisecond
+	stayTime     = 2500 * time.Millisecond // after SIGTERM: until the platform has seen that this mixer is not ready
+	endMargin    = 700 * time.Millisecond  // before the grace is over
+	lastChance   = 100 * time.Millisecond
+	pollTime     = 20 * time.Millisecond
+	quietTime    = 300 * time.Millisecond
+	resolution   = 1000 // microseconds
+	attemptCap   = 8
+	leastRouters = 8 // taken for as long as fewer are known: a share of the budget too small does no harm
+)
+
+type tide struct {
+	boot    *Boot
+	x       *exchange.Exchange
+	back    *reach.Back
+	gate    *gate.Gate
+	client  *calls.Client
+	book    *rumour.Book
+	numbers gate.Shards
+	start   time.Time
+	routers int
+	servers atomic.Int64
+	conns   map[string]int // by service: connections that a server takes
+}
+
+// Tide is the proxy: it takes clients' requests and answers them. What it knows of
+// servers and routes comes from the agent on its machine; while that is away it goes on
+// with what it last had.
+func Tide(ctx context.Context, boot *Boot) error {
+	set := settings.Settings{MostHeld: mostHeld, Router: choice.Settings{
+		ClassesLater: true, Cells: gate.MostShards, Width: 1, BundleMax: 1, Resolution: resolution, Cancel: true,
+		ParallelTries: true, RetryAdvice: true, MaxRetryAfter: time.Second.Microseconds(), AttemptCap: attemptCap,
+		Keepalive: (30 * time.Second).Microseconds(), DrainGrace: boot.Bounds.Drain.Microseconds() / 4,
+		Routers: leastRouters, ExtraBudget: true, ExtraByShard: true, ExtraRatio: boot.Bounds.RetryRatio,
+		ExtraSpare: 0, ExtraWindow: boot.Bounds.RetryWindow.Microseconds(),
+	}}
+	x, err := exchange.New(uint64(time.Now().UnixNano()), set)
+	if err != nil {
+		return err
+	}
+	leaves := (boot.Files - spareFiles) / leafShare
+	t := &tide{boot: boot, x: x, client: calls.NewClient(time.Second), book: rumour.NewBook(), start: time.Now(),
+		gate: &gate.Gate{Exchange: x}, back: reach.New(reach.Config{Exchange: x, MaxConns: leaves}), conns: make(map[string]int)}
+	f := front.New(front.Config{Exchange: x, Protocol: t.gate, MaxClients: boot.Files - spareFiles - leaves,
+		Pace: front.Pace{First: charter.Usual.IdleTime, Request: charter.Usual.HeadTime, Idle: charter.Usual.IdleTime}})
+	ln, err := link.Listen(ctx, boot.Front)
+	if err != nil {
+		return err
+	}
+	lnReady, err := link.Listen(ctx, boot.Ready)
+	if err != nil {
+		return err
+	}
+	var stopping atomic.Bool
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if stopping.Load() || t.gate.Plan() == nil || t.servers.Load() == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+	})
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	stop := make(chan struct{})
+	defer close(stop)
+	go x.Run(t.back, stop)
+	go t.back.Run(life)
+	go t.follow(life)
+	failed := make(chan error, 2)
+	go func() { failed <- calls.Serve(life, lnReady, mux, 0) }()
+	go func() {
+		if err := f.Serve(ln); err != nil {
+			failed <- err
+		}
+	}()
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	}
+	stopping.Store(true)
+	f.Stop()
+	since := time.Now()
+	over := since.Add(boot.Bounds.Grace - endMargin)
+	for time.Since(since) < min(stayTime, boot.Bounds.Grace/2) {
+		time.Sleep(pollTime)
+	}
+	f.Close()
+	for time.Now().Before(over) && (x.Open() > 0 || !f.Quiet(quietTime)) {
+		f.CloseIdle(lastChance)
+		time.Sleep(pollTime)
+	}
+	ln.Close()
+	for time.Now().Before(over) && f.Clients() > 0 {
+		f.CloseIdle(lastChance)
+		time.Sleep(pollTime)
+	}
+	return nil
+}
+
+// follow takes what the agent tells for as long as the proxy lives.
+func (t *tide) follow(ctx context.Context) {
+	f := Feed{}
+	for ctx.Err() == nil {
+		ask, cancel := context.WithTimeout(ctx, feedWait+5*time.Second)
+		held, _ := t.book.Get(charterAt)
+		f.Rank = held.Rank
+		ans, err := feedCall.Ask(ask, t.client, t.boot.Loop(), "", f)
+		cancel()
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(feedPause):
+			}
+			continue
+		}
+		t.take(ans.Items)
+		f = Feed{Life: ans.Life, Since: ans.Seq}
+		if ans.Want {
+			f.News = t.book.Pick([]string{charterAt})
+		}
+	}
+}
+
+// take puts news in force.
+func (t *tide) take(items []rumour.Item) {
+	list := choice.List{Form: choice.Delta}
+	var told []reach.Server
+	now := time.Since(t.start).Microseconds()
+	for _, i := range items {
+		if !t.book.Put(now, i, 1) {
+			continue
+		}
+		switch {
+		case i.Key == charterAt:
+			t.charter(i)
+		case strings.HasPrefix(i.Key, roster.Prefix):
+			row, s, ok := t.server(i)
+			if ok {
+				list.Servers = append(list.Servers, row)
+				told = append(told, s)
+			}
+		}
+	}
+	t.book.Hot() // nothing is passed on from here
+	t.tier()
+	if len(told) > 0 {
+		t.back.Told(told)
+		t.x.Listed(list)
+	}
+}
+
+func (t *tide) charter(i rumour.Item) {
+	c, err := charter.Read(i.Body)
+	if err != nil {
+		return
+	}
+	p, err := gate.NewPlan(c, &t.numbers)
+	if err != nil {
+		return
+	}
+	for name, s := range c.Services {
+		t.conns[name] = s.MaxConns
+	}
+	t.x.Retune(p.Classes)
+	t.gate.Use(p)
+}
+
+func (t *tide) server(i rumour.Item) (choice.Server, reach.Server, bool) {
+	s, err := roster.Parse(i)
+	if err != nil {
+		return choice.Server{}, reach.Server{}, false
+	}
+	row := choice.Server{ID: s.ID, Zone: s.Zone, Kind: s.Revision, Scale: max(s.Capacity, 1), State: choice.Gone}
+	if i.Gone() {
+		return row, reach.Server{ID: s.ID, Gone: true}, true
+	}
+	n, err := t.numbers.Of(s.Service)
+	if err != nil {
+		return row, reach.Server{}, false
+	}
+	row.Cell = n
+	switch s.State {
+	case roster.Available:
+		row.State = choice.Ready
+	case roster.Draining:
+		row.State = choice.Draining
+	}
+	most := 0
+	if m := t.conns[s.Service]; m > 0 {
+		most = max(m/max(t.routers, leastRouters), 2)
+	}
+	return row, reach.Server{ID: s.ID, Addr: s.Addr, MaxConns: most}, true
+}
+
+// tier tells the decisions how many proxies there are, and counts servers.
+func (t *tide) tier() {
+	routers, servers := 0, int64(0)
+	t.book.All(func(i rumour.Item) {
+		switch {
+		case i.Gone():
+		case strings.HasPrefix(i.Key, roster.Prefix):
+			servers++
+		case strings.HasPrefix(i.Key, processes) && i.Rank%2 == 0 && strings.Contains(string(i.Body), `"k":"echo"`):
+			routers++
+		}
+	})
+	t.servers.Store(servers)
+	if routers = max(routers, leastRouters); routers != t.routers {
+		t.routers = routers
+		spare := math.Floor(t.boot.Bounds.RetrySlack / float64(routers) / 2)
+		t.x.Tiered(choice.Tier{Routers: routers, Spare: spare})
+	}
+}
--- /dev/null
+++ b/internal/weave/store/store.go
@@ -0,0 +1,86 @@
+// Package store keeps a core machine's state on disk, in goleveldb. Every write is synced
+// before it returns: all that is kept here is what a promise rests on. It must never tell
+// a damaged store as an empty one, grow without a bound, or return before the disk has it.
+package store
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/util"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of complaints of the disk.
+var Error = errs.Class("store")
+
+// Store is one open store. It is safe for concurrent use.
+type Store struct {
+	db  *leveldb.DB
+	dir string
+}
+
+const bufferBytes = 1 << 20 // of the memory table and of the block cache
+
+var options = &opt.Options{
+	WriteBuffer: bufferBytes, BlockCacheCapacity: bufferBytes, OpenFilesCacheCapacity: 16, CompactionTableSize: bufferBytes,
+	Strict: opt.StrictJournalChecksum | opt.StrictBlockChecksum, ErrorIfMissing: false,
+}
+
+// Open opens the store below a data directory, made where there is none. A last entry
+// that was torn by a loss of power is dropped: it was never promised.
+func Open(dir string) (*Store, error) {
+	at := filepath.Join(dir, "state")
+	if err := os.MkdirAll(at, 0o755); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	db, err := leveldb.OpenFile(at, options)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Store{db: db, dir: at}, nil
+}
+
+// Get returns what is kept under a key, nil where nothing is.
+func (s *Store) Get(key string) ([]byte, error) {
+	v, err := s.db.Get([]byte(key), nil)
+	if err == leveldb.ErrNotFound {
+		return nil, nil
+	}
+	return v, Error.Wrap(err)
+}
+
+// Entry is one thing to keep; no value: the key is dropped.
+type Entry struct {
+	Key   string
+	Value []byte
+}
+
+// Put keeps entries, all or none, and returns once the disk has them.
+func (s *Store) Put(entries ...Entry) error {
+	var b leveldb.Batch
+	for _, e := range entries {
+		if e.Value == nil {
+			b.Delete([]byte(e.Key))
+		} else {
+			b.Put([]byte(e.Key), e.Value)
+		}
+	}
+	return Error.Wrap(s.db.Write(&b, &opt.WriteOptions{Sync: true}))
+}
+
+// All returns all that is kept under keys that begin so.
+func (s *Store) All(prefix string) (map[string][]byte, error) {
+	it := s.db.NewIterator(util.BytesPrefix([]byte(prefix)), nil)
+	defer it.Release()
+	out := make(map[string][]byte)
+	for it.Next() {
+		out[string(it.Key())] = append([]byte(nil), it.Value()...)
+	}
+	return out, Error.Wrap(it.Error())
+}
+
+// Close ends the store.
+func (s *Store) Close() error { return Error.Wrap(s.db.Close()) }
