Draw among the nearest servers that have room

The draw stays uniform among the servers with room, of those the least far; a full near server gives way to the others as before.

--- a/choice/api.go
+++ b/choice/api.go
@@ -93,6 +93,7 @@
 	Cell    int
 	State   State
 	Scale   float64 // size beside the other servers
+	Far     int     // 0: nearby; the more, the dearer and slower the way there
 	UpSince Micros  // latest start; 0: long ago
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -689,7 +689,7 @@
 	case len(trial) > 0:
 		return r.try(trial, c)
 	case len(sound) > 0:
-		sound = r.fewest(sound, line, u)
+		sound = r.fewest(nearest(sound), line, u)
 		return sound[r.rng.IntN(len(sound))]
 	case u >= must && len(full) > 0:
 		return full[r.rng.IntN(len(full))]
@@ -705,6 +705,12 @@
 	return nil
 }
 
+// nearest leaves of the servers with room those that are least far.
+func nearest(from []*server) []*server {
+	far := slices.MinFunc(from, func(a, b *server) int { return cmp.Compare(a.Far, b.Far) }).Far
+	return slices.DeleteFunc(from, func(s *server) bool { return s.Far > far })
+}
+
 // fewest leaves of the servers that a line's first part may go to those with which the whole line costs the
 // fewest calls, one that has a call of this plan costing none.
 func (r *Router) fewest(from []*server, line []*part, u use) []*server {
--- a/internal/weave/role/tide.go
+++ b/internal/weave/role/tide.go
@@ -208,7 +208,7 @@
 	if err != nil {
 		return row, reach.Server{}, false
 	}
-	row.Cell = n
+	row.Cell, row.Far = n, t.far(s.Zone)
 	switch s.State {
 	case roster.Available:
 		row.State = choice.Ready
@@ -222,6 +222,18 @@
 	return row, reach.Server{ID: s.ID, Addr: s.Addr, MaxConns: most}, true
 }
 
+// far tells how dear the way to a zone is: 0 in the own one, 1 in another of the region,
+// 2 beyond.
+func (t *tide) far(zone string) int {
+	switch {
+	case zone == t.boot.Zone:
+		return 0
+	case t.boot.Regions[zone] == t.boot.Region && t.boot.Region != "":
+		return 1
+	}
+	return 2
+}
+
 // tier tells the decisions how many proxies there are, and counts servers.
 func (t *tide) tier() {
 	routers, servers := 0, int64(0)
