Numbered events, settings that may change, an agent that outlives its proxy

The system's programs log numbered events with a catalogue (internal/weave/events); the settings file is reread on SIGHUP and when it changes; after SIGTERM an agent feeds its proxy until that has ended.

--- a/internal/weave/command/command.go
+++ b/internal/weave/command/command.go
@@ -14,13 +14,14 @@
 
 	"github.com/spf13/cobra"
 
+	"saddleport/internal/weave/events"
 	"saddleport/internal/weave/role"
 )
 
 // Program is one of the system's programs.
 type Program struct {
 	Name, Short string
-	Run         func(context.Context, *role.Boot) error
+	Run         func(context.Context, *role.Settings) error
 	Garbage     int // GOGC
 }
 
@@ -35,20 +36,26 @@
 
 // Main runs a program's command line.
 func Main(p Program) {
+	signal.Ignore(syscall.SIGHUP) // until the settings are watched; it would end the process
 	root := &cobra.Command{Use: p.Name, Short: p.Short, SilenceUsage: true, SilenceErrors: true}
 	file := root.PersistentFlags().String("settings", os.Getenv(role.Variable), "the settings file; "+role.Variable+" names it too")
 	root.AddCommand(&cobra.Command{Use: "run", Short: "Run " + p.Short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		boot, err := role.Load(*file)
+		set, err := role.OpenSettings(*file)
 		if err != nil {
 			return err
 		}
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		signal.Ignore(syscall.SIGHUP)
 		runtime.GOMAXPROCS(1)
 		debug.SetGCPercent(p.Garbage)
-		debug.SetMemoryLimit(int64(float64(boot.MemoryMB) * memoryShare * (1 << 20)))
-		return p.Run(ctx, boot)
+		debug.SetMemoryLimit(int64(float64(set.Boot().MemoryMB) * memoryShare * (1 << 20)))
+		err = p.Run(ctx, set)
+		if err != nil {
+			events.Failed.Log("err", err)
+		} else {
+			events.Stopped.Log()
+		}
+		return err
 	}})
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, p.Name+":", err)
--- /dev/null
+++ b/internal/weave/events/catalogue.go
@@ -0,0 +1,40 @@
+package events
+
+import "github.com/charmbracelet/log"
+
+// The catalogue. Numbers are never given out anew: 1xx any program, 2xx the proxy, 3xx
+// the agent, 4xx the core.
+var (
+	Started  = add(101, "started", log.InfoLevel, "the process has its addresses and begins", "")
+	Stopping = add(102, "stopping", log.InfoLevel, "SIGTERM came; what is in hand is finished within the grace", "")
+	Stopped  = add(103, "stopped", log.InfoLevel, "the process ends of its own will", "")
+	Failed   = add(104, "failed", log.ErrorLevel, "the process can't go on and ends", "read `err`; the platform starts it again")
+	Reloaded = add(105, "settings-reloaded", log.InfoLevel, "the settings file has changed and is in force", "")
+	Unread   = add(106, "settings-unread", log.ErrorLevel, "the settings file has changed and can't be read; the old one stays in force", "`check` it")
+	Joined   = add(107, "joined", log.InfoLevel, "the first other process was met", "")
+	Alone    = add(108, "alone", log.WarnLevel, "no other process answers: the seeds are down or out of date", "look at `seed_addresses` and at the core")
+	Broken   = add(109, "invariant-broken", log.FatalLevel, "the code's own rule does not hold; the process stops rather than go on", "report the line with its numbers")
+
+	InForce    = add(201, "configuration-in-force", log.InfoLevel, "requests that come from now on go by this version", "")
+	Unusable   = add(202, "configuration-unusable", log.ErrorLevel, "the agent brought a version that can't be made a plan of; the old one stays", "compare versions of the programs")
+	AgentAway  = add(203, "agent-away", log.WarnLevel, "the agent does not answer; the proxy goes on with what it last had", "look at the agent on the same machine")
+	AgentBack  = add(204, "agent-back", log.InfoLevel, "the agent answers again", "")
+	Ready      = add(205, "ready", log.InfoLevel, "a configuration and servers are known; the proxy calls itself ready", "")
+	Count      = add(206, "counters", log.InfoLevel, "what the proxy has taken, sent and answered since its start", "")
+	CutShort   = add(207, "cut-short", log.WarnLevel, "the grace is over and requests are still out; their clients are told", "")
+	ServerNews = add(208, "servers", log.DebugLevel, "news of servers was put in force", "")
+
+	ProxyGone = add(301, "proxy-gone", log.InfoLevel, "after SIGTERM: the proxy asks no more, and the agent ends", "")
+
+	Acknowledged = add(401, "configuration-acknowledged", log.InfoLevel, "a version is safe and is told to all", "")
+	Invalid      = add(402, "configuration-invalid", log.WarnLevel, "an operator sent a configuration that is not valid", "`path` tells where it is wrong")
+	Unsafe       = add(403, "configuration-not-safe", log.WarnLevel, "too few core machines answered to acknowledge a version; the operator is told to come again", "look at the core's view")
+	ServerNew    = add(404, "server-new", log.InfoLevel, "a life of a server was heard for the first time", "")
+	ServerDrains = add(405, "server-drains", log.InfoLevel, "a server says that it leaves", "")
+	ServerLeft   = add(406, "server-left", log.InfoLevel, "a server has said that it is gone", "")
+	ServerSilent = add(407, "server-silent", log.WarnLevel, "a server has missed its beats here", "look at the server")
+	BadBeat      = add(408, "beat-unread", log.WarnLevel, "a heartbeat can't be read", "")
+	Filling      = add(409, "disk-empty", log.WarnLevel, "this disk is empty though the system is not new: it counts for nothing until it has been filled", "")
+	Filled       = add(410, "disk-filled", log.InfoLevel, "this disk holds again what the others hold", "")
+	Damaged      = add(411, "disk-damaged", log.ErrorLevel, "what is on this disk can't be read: it is not trusted", "replace the machine or empty its data directory")
+)
--- a/internal/weave/role/echo.go
+++ b/internal/weave/role/echo.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"saddleport/internal/fabric/rumour"
 	"saddleport/internal/weave/calls"
+	"saddleport/internal/weave/events"
 	"saddleport/internal/weave/link"
 )
 
@@ -30,15 +32,24 @@
 
 var feedCall = calls.Call[Feed, Fed]{Method: "POST", Path: "/Feed", Most: mostCall, Who: "the proxy on the same machine"}
 
-const feedWait = 10 * time.Second
+const (
+	feedWait   = 10 * time.Second
+	fedPause   = 500 * time.Millisecond // without a call of the proxy, after SIGTERM: it has ended
+	echoMargin = 400 * time.Millisecond // before the grace is over
+)
 
 // Echo is the agent beside a proxy: it keeps the link to the control plane and feeds the
 // proxy over loopback. It serves no requests and decides nothing.
-func Echo(ctx context.Context, boot *Boot) error {
-	n := NewNode(boot, "echo")
+func Echo(ctx context.Context, set *Settings) error {
+	boot := set.Boot()
+	n := NewNode(set, "echo")
+	var fed atomic.Int64  // when the proxy last asked or was answered, by n.now
+	var open atomic.Int64 // calls of the proxy that wait
 	life := strconv.FormatInt(time.Now().UnixNano(), 36)
 	loop := http.NewServeMux()
 	feedCall.On(loop, func(ctx context.Context, _ calls.Named, f Feed) (Fed, error) {
+		open.Add(1)
+		defer func() { fed.Store(n.now()); open.Add(-1) }()
 		n.mu.Lock()
 		for _, i := range f.News {
 			n.put(i, passTimes)
@@ -73,16 +84,27 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	running, end := context.WithCancel(context.Background()) // outlives ctx: the proxy is fed until it has ended
+	defer end()
 	failed := make(chan error, 2)
-	go func() { failed <- calls.Serve(ctx, lnLoop, loop, feedWait+5*time.Second) }()
-	go func() { failed <- calls.Serve(ctx, lnInner, inner, 0) }()
-	go n.Run(ctx)
+	go func() { failed <- calls.Serve(running, lnLoop, loop, feedWait+5*time.Second) }()
+	go func() { failed <- calls.Serve(running, lnInner, inner, 0) }()
+	go n.Run(running)
+	go set.Watch(running)
+	events.Started.Log("program", "echo", "name", boot.Name, "inner", boot.Inner(), "loop", boot.Loop())
 	select {
-	case <-ctx.Done():
-		return nil
 	case err := <-failed:
 		return err
+	case <-ctx.Done():
+	}
+	events.Stopping.Log()
+	since := time.Now()
+	for time.Since(since) < set.Boot().Bounds.Grace-echoMargin {
+		if open.Load() == 0 && n.now()-fed.Load() > fedPause.Microseconds() {
+			events.ProxyGone.Log()
+			break
+		}
+		time.Sleep(pollTime)
 	}
+	return nil
 }
--- a/internal/weave/role/keel.go
+++ b/internal/weave/role/keel.go
@@ -15,6 +15,7 @@
 	"saddleport/internal/fabric/roster"
 	"saddleport/internal/fabric/rumour"
 	"saddleport/internal/weave/calls"
+	"saddleport/internal/weave/events"
 	"saddleport/internal/weave/link"
 	"saddleport/internal/weave/store"
 )
@@ -71,13 +72,14 @@
 }
 
 // Keel is a core process: it takes heartbeats and configurations.
-func Keel(ctx context.Context, boot *Boot) error {
+func Keel(ctx context.Context, set *Settings) error {
+	boot := set.Boot()
 	s, err := store.Open(boot.Dir)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
-	k := &keel{Node: NewNode(boot, "keel"), store: s}
+	k := &keel{Node: NewNode(set, "keel"), store: s}
 	k.roster = roster.New(k.self.Addr, int64(quietBeats*float64(boot.Beat.Microseconds())))
 	if k.raw, err = s.Get("charter"); err != nil {
 		return err
@@ -103,6 +105,7 @@
 	keepCall.On(inner, func(_ context.Context, _ calls.Named, m Keep) (Kept, error) { return k.keep(m) })
 	beatCall.On(outer, k.beat)
 	leaveCall.On(outer, func(_ context.Context, who calls.Named, _ calls.Raw) (Nothing, error) {
+		events.ServerLeft.Log("server", who.Name)
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.put(k.roster.Left(who.Name), passTimes)
@@ -124,17 +127,21 @@
 	go func() { failed <- calls.Serve(ctx, lnOuter, outer, 10*time.Second) }()
 	go func() { failed <- calls.Serve(ctx, lnInner, inner, 0) }()
 	go k.Run(ctx)
+	go set.Watch(ctx)
+	events.Started.Log("program", "keel", "name", boot.Name, "control", boot.Control, "inner", boot.Inner(), "rank", k.rank, "whole", k.whole)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			events.Stopping.Log()
 			return nil
 		case err := <-failed:
 			return err
 		case <-tick.C:
 			k.mu.Lock()
 			for _, i := range k.roster.Tick(k.now()) {
+				events.ServerSilent.Log("server", i.Key)
 				k.put(i, passTimes)
 			}
 			k.mu.Unlock()
@@ -157,9 +164,15 @@
 	held, known := k.book.Get(roster.Prefix + who.Name)
 	news, is, err := k.roster.Heard(k.now(), who.Name, b, held, known)
 	if err != nil {
+		events.BadBeat.Log("server", who.Name, "peer", who.Peer, "err", err)
 		return Beaten{}, calls.Fail(http.StatusBadRequest, "%v", err)
 	}
 	if is {
+		if !known {
+			events.ServerNew.Log("server", who.Name, "service", b.Service, "addr", b.Addr, "zone", b.Zone)
+		} else if b.State == "draining" {
+			events.ServerDrains.Log("server", who.Name, "service", b.Service)
+		}
 		k.put(news, passTimes)
 	}
 	return Beaten{}, nil
@@ -194,7 +207,7 @@
 // higher one, with the highest that was seen.
 func (k *keel) ask(ctx context.Context, m Keep) (Keep, error) {
 	peers := k.Peers("keel")
-	need := max((len(peers)+1)/2+1, k.boot.Faults+1)
+	need := max((len(peers)+1)/2+1, k.set.Boot().Faults+1)
 	ctx, cancel := context.WithTimeout(ctx, keepTime)
 	defer cancel()
 	answers := make(chan Kept, len(peers)+1)
@@ -223,16 +236,19 @@
 	return m, nil
 }
 
-func (k *keel) replace(ctx context.Context, _ calls.Named, raw calls.Raw) (Nothing, error) {
+func (k *keel) replace(ctx context.Context, who calls.Named, raw calls.Raw) (Nothing, error) {
 	c, err := charter.Read(raw)
 	if err != nil {
+		events.Invalid.Log("peer", who.Peer, "path", err)
 		return Nothing{}, calls.Fail(http.StatusBadRequest, "%v", err)
 	}
 	m := Keep{Rank: rank(c.Revision, raw), Raw: raw}
 	highest, err := k.ask(ctx, m)
 	if err != nil {
+		events.Unsafe.Log("version", c.Revision, "err", err)
 		return Nothing{}, err
 	}
+	events.Acknowledged.Log("version", c.Revision, "highest", highest.Rank>>16)
 	if highest.Rank == m.Rank {
 		k.announce(c)
 	}
--- a/internal/weave/role/node.go
+++ b/internal/weave/role/node.go
@@ -12,6 +12,7 @@
 
 	"saddleport/internal/fabric/rumour"
 	"saddleport/internal/weave/calls"
+	"saddleport/internal/weave/events"
 )
 
 const (
@@ -23,6 +24,7 @@
 	dialPeer    = 500 * time.Millisecond
 	mostCall    = 8 << 20
 	restMost    = 8 * time.Second // the longest a peer that does not answer is left alone
+	aloneTries  = 5               // of joining, before that is told
 	nearTimes   = 3               // of four digests, so many are compared within the zone
 )
 
@@ -65,7 +67,7 @@
 
 // Node is what an agent and a core process have in common: news and peers.
 type Node struct {
-	boot   *Boot
+	set    *Settings
 	self   Process
 	client *calls.Client
 	start  time.Time
@@ -84,8 +86,9 @@
 }
 
 // NewNode returns a node that knows itself alone.
-func NewNode(boot *Boot, kind string) *Node {
-	n := &Node{boot: boot, client: calls.NewClient(dialPeer), start: time.Now(), book: rumour.NewBook(),
+func NewNode(set *Settings, kind string) *Node {
+	boot := set.Boot()
+	n := &Node{set: set, client: calls.NewClient(dialPeer), start: time.Now(), book: rumour.NewBook(),
 		changed: make(chan struct{}), hot: make(chan struct{}, 1), rests: make(map[string]*rest)}
 	n.self = Process{Addr: boot.Inner(), Name: boot.Name, Kind: kind, Zone: boot.Zone, Region: boot.Region, Control: boot.Control}
 	n.mu.Lock()
@@ -241,14 +244,18 @@
 // join learns what there is from the seeds.
 func (n *Node) join(ctx context.Context) {
 	for try := 0; ctx.Err() == nil; try++ {
-		for _, addr := range n.boot.SeedPeers() {
+		for _, addr := range n.set.Boot().SeedPeers() {
 			if addr != n.self.Addr {
 				n.reconcile(ctx, addr)
 			}
 		}
-		if len(n.Peers("")) > 0 {
+		if peers := len(n.Peers("")); peers > 0 {
+			events.Joined.Log("peers", peers)
 			return
 		}
+		if try == aloneTries {
+			events.Alone.Log("seeds", n.set.Boot().Seeds)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(min(time.Duration(try+1)*200*time.Millisecond, 2*time.Second)):
--- a/internal/weave/role/tide.go
+++ b/internal/weave/role/tide.go
@@ -19,6 +19,7 @@
 	"saddleport/internal/front/gate"
 	"saddleport/internal/settings"
 	"saddleport/internal/weave/calls"
+	"saddleport/internal/weave/events"
 	"saddleport/internal/weave/link"
 )
 
@@ -31,6 +32,7 @@
 	endMargin    = 700 * time.Millisecond  // before the grace is over
 	lastChance   = 100 * time.Millisecond
 	pollTime     = 20 * time.Millisecond
+	countEvery   = 30 * time.Second
 	quietTime    = 300 * time.Millisecond
 	resolution   = 1000 // microseconds
 	attemptCap   = 8
@@ -54,7 +56,8 @@
 // Tide is the proxy: it takes clients' requests and answers them. What it knows of
 // servers and routes comes from the agent on its machine; while that is away it goes on
 // with what it last had.
-func Tide(ctx context.Context, boot *Boot) error {
+func Tide(ctx context.Context, from *Settings) error {
+	boot := from.Boot()
 	set := settings.Settings{MostHeld: mostHeld, Router: choice.Settings{
 		ClassesLater: true, Cells: gate.MostShards, Width: 1, BundleMax: 1, Resolution: resolution, Cancel: true,
 		ParallelTries: true, RetryAdvice: true, MaxRetryAfter: time.Second.Microseconds(), AttemptCap: attemptCap,
@@ -95,6 +98,7 @@
 	go x.Run(t.back, stop)
 	go t.back.Run(life)
 	go t.follow(life)
+	go from.Watch(life)
 	failed := make(chan error, 2)
 	go func() { failed <- calls.Serve(life, lnReady, mux, 0) }()
 	go func() {
@@ -102,15 +106,24 @@
 			failed <- err
 		}
 	}()
-	select {
-	case <-ctx.Done():
-	case err := <-failed:
-		return err
+	events.Started.Log("program", "tide", "name", boot.Name, "front", boot.Front, "clients", boot.Files-spareFiles-leaves, "leaves", leaves)
+	tick := time.NewTicker(countEvery)
+	defer tick.Stop()
+	for running := true; running; {
+		select {
+		case <-ctx.Done():
+			running = false
+		case err := <-failed:
+			return err
+		case <-tick.C:
+			events.Count.Log("c", x.Counters.String(), "unrouted", t.gate.Unrouted.Load())
+		}
 	}
+	events.Stopping.Log("open", x.Open())
 	stopping.Store(true)
 	f.Stop()
 	since := time.Now()
-	over := since.Add(boot.Bounds.Grace - endMargin)
+	over := since.Add(from.Boot().Bounds.Grace - endMargin)
 	for time.Since(since) < min(stayTime, boot.Bounds.Grace/2) {
 		time.Sleep(pollTime)
 	}
@@ -129,13 +142,17 @@
 
 // follow takes what the agent tells for as long as the proxy lives.
 func (t *tide) follow(ctx context.Context) {
-	f := Feed{}
+	f, away := Feed{}, false
 	for ctx.Err() == nil {
 		ask, cancel := context.WithTimeout(ctx, feedWait+5*time.Second)
 		held, _ := t.book.Get(charterAt)
 		f.Rank = held.Rank
 		ans, err := feedCall.Ask(ask, t.client, t.boot.Loop(), "", f)
 		cancel()
+		if err != nil && ctx.Err() == nil && !away {
+			away = true
+			events.AgentAway.Log("err", err)
+		}
 		if err != nil {
 			select {
 			case <-ctx.Done():
@@ -143,6 +160,10 @@
 			}
 			continue
 		}
+		if away {
+			away = false
+			events.AgentBack.Log()
+		}
 		t.take(ans.Items)
 		f = Feed{Life: ans.Life, Since: ans.Seq}
 		if ans.Want {
@@ -174,6 +195,7 @@
 	t.book.Hot() // nothing is passed on from here
 	t.tier()
 	if len(told) > 0 {
+		events.ServerNews.Log("servers", len(told))
 		t.back.Told(told)
 		t.x.Listed(list)
 	}
@@ -181,11 +203,12 @@
 
 func (t *tide) charter(i rumour.Item) {
 	c, err := charter.Read(i.Body)
-	if err != nil {
-		return
+	var p *gate.Plan
+	if err == nil {
+		p, err = gate.NewPlan(c, &t.numbers)
 	}
-	p, err := gate.NewPlan(c, &t.numbers)
 	if err != nil {
+		events.Unusable.Log("rank", i.Rank, "err", err)
 		return
 	}
 	for name, s := range c.Services {
@@ -193,6 +216,7 @@
 	}
 	t.x.Retune(p.Classes)
 	t.gate.Use(p)
+	events.InForce.Log("version", c.Revision, "routes", len(c.Routes), "services", len(c.Services), "classes", len(p.Classes))
 }
 
 func (t *tide) server(i rumour.Item) (choice.Server, reach.Server, bool) {
