News crosses between zones once; servers beat at the core machine of their zone

Now what begins here goes to one process of each other zone and is passed on there; digests are compared across zones once in eight.

--- a/internal/fabric/rumour/rumour.go
+++ b/internal/fabric/rumour/rumour.go
@@ -43,6 +43,7 @@
 	seq    uint64 // when it was learned, in steps of the book
 	at     int64  // the same, in microseconds of the caller's clock
 	passes int    // times that it may still be passed on
+	wide   bool   // to every zone, not only to the own one
 }
 
 // Book is what one process holds. It is not safe for concurrent use.
@@ -73,8 +74,8 @@
 }
 
 // Put takes news, and tells whether it was newer than what was held. passes is how many
-// times it is to be passed on from here.
-func (b *Book) Put(now int64, i Item, passes int) bool {
+// times it is to be passed on from here; wide, whether to every zone or to the own one.
+func (b *Book) Put(now int64, i Item, passes int, wide bool) bool {
 	h := b.items[i.Key]
 	if h != nil && i.Rank <= h.Rank {
 		return false
@@ -92,7 +93,7 @@
 		b.hot = append(b.hot, i.Key)
 	}
 	b.seq++
-	h.Item, h.seq, h.at, h.passes = i, b.seq, now, passes
+	h.Item, h.seq, h.at, h.passes, h.wide = i, b.seq, now, passes, wide
 	b.sums[bucket(i.Key)] ^= mark(i)
 	b.log, b.seqs = append(b.log, i.Key), append(b.seqs, b.seq)
 	if len(b.log) > 2*len(b.items)+64 {
@@ -150,9 +151,27 @@
 // Len counts the keys held.
 func (b *Book) Len() int { return len(b.items) }
 
-// Hot returns news to pass on in one message and counts it as passed once. Of a large
-// body only the rank travels: Body is nil and Want tells the other side to ask.
-func (b *Book) Hot() (small []Item, large []Mark) {
+// Message is news for one message. Of what is large only the rank travels, and the other
+// side asks for it.
+type Message struct {
+	Small []Item
+	Large []Mark
+}
+
+// Empty tells whether there is nothing in a message.
+func (m Message) Empty() bool { return len(m.Small)+len(m.Large) == 0 }
+
+func (m *Message) add(i Item) {
+	if len(i.Body) > smallBody {
+		m.Large = append(m.Large, Mark{i.Key, i.Rank})
+	} else {
+		m.Small = append(m.Small, i)
+	}
+}
+
+// Hot returns news to pass on, and counts it as passed once: all of it to the own zone,
+// and what is wide to one process of every other. Wide news goes wide once.
+func (b *Book) Hot() (near, wide Message) {
 	rest := b.hot[:0]
 	n := 0
 	for _, key := range b.hot {
@@ -164,17 +183,17 @@
 			rest = append(rest, key)
 			continue
 		}
-		if len(h.Body) > smallBody {
-			large = append(large, Mark{key, h.Rank})
-		} else {
-			small = append(small, h.Item)
+		near.add(h.Item)
+		if h.wide {
+			wide.add(h.Item)
+			h.wide = false
 		}
 		if h.passes--; h.passes > 0 {
 			rest = append(rest, key)
 		}
 	}
 	b.hot = rest
-	return small, large
+	return near, wide
 }
 
 // Idle tells whether there is nothing to pass on.
--- /dev/null
+++ b/internal/front/gate/gate_test.go
@@ -0,0 +1,122 @@
+package gate_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"saddleport/choice"
+	"saddleport/internal/back/reach"
+	"saddleport/internal/exchange"
+	"saddleport/internal/fabric/charter"
+	"saddleport/internal/front"
+	"saddleport/internal/front/gate"
+	"saddleport/internal/lab/standin"
+	"saddleport/internal/settings"
+)
+
+// proxy is a proxy on loopback: the front, the exchange and the back, without an agent.
+type proxy struct {
+	t       testing.TB
+	addr    string
+	x       *exchange.Exchange
+	back    *reach.Back
+	gate    *gate.Gate
+	front   *front.Front
+	numbers gate.Shards
+}
+
+func newProxy(t testing.TB, change func(*choice.Settings)) *proxy {
+	set := settings.Settings{MostHeld: 10_000, Router: choice.Settings{ClassesLater: true, Cells: gate.MostShards, Width: 1,
+		BundleMax: 1, Resolution: 1000, Cancel: true, ParallelTries: true, MaxRetryAfter: 1_000_000, AttemptCap: 8,
+		Keepalive: 30_000_000, Routers: 1, ExtraBudget: true, ExtraByShard: true, ExtraRatio: 0.2, ExtraSpare: 20,
+		ExtraWindow: 10_000_000}}
+	if change != nil {
+		change(&set.Router)
+	}
+	x, err := exchange.New(1, set)
+	require.NoError(t, err)
+	p := &proxy{t: t, x: x, gate: &gate.Gate{Exchange: x}, back: reach.New(reach.Config{Exchange: x, MaxConns: 500})}
+	p.front = front.New(front.Config{Exchange: x, Protocol: p.gate, MaxClients: 500,
+		Pace: front.Pace{First: time.Minute, Request: time.Minute, Idle: time.Minute}})
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	p.addr = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := make(chan struct{})
+	go x.Run(p.back, stop)
+	go p.back.Run(ctx)
+	go p.front.Serve(ln)
+	t.Cleanup(func() { ln.Close(); close(stop); cancel() })
+	return p
+}
+
+func (p *proxy) charter(text string) {
+	c, err := charter.Read([]byte(text))
+	require.NoError(p.t, err)
+	plan, err := gate.NewPlan(c, &p.numbers)
+	require.NoError(p.t, err)
+	p.x.Retune(plan.Classes)
+	p.gate.Use(plan)
+}
+
+func (p *proxy) server(service string, s *standin.Server) {
+	n, err := p.numbers.Of(service)
+	require.NoError(p.t, err)
+	p.back.Told([]reach.Server{{ID: s.ID, Addr: s.Addr}})
+	p.x.Listed(choice.List{Servers: []choice.Server{{ID: s.ID, Zone: "z", Cell: n, State: choice.Ready, Scale: 3}}})
+}
+
+const four = `{"revision":1,"services":[{"name":"a"},{"name":"b"},{"name":"c"},{"name":"d"},{"name":"one"}],"routes":[
+ {"hostname":"h","path_prefix":"/all/","route_type":"idempotent","timeout_ms":2500,"target_latency_ms":250,"fanout_services":["a","b","c","d"],"max_attempts":2,"result_limit":3,"min_success_ratio":0.5},
+ {"hostname":"h","path_prefix":"/book/","route_type":"non_idempotent","timeout_ms":4000,"target_latency_ms":800,"target_service":"one","max_attempts":1},
+ {"hostname":"h","path_prefix":"/look/","route_type":"idempotent","timeout_ms":4000,"target_latency_ms":800,"target_service":"one","max_attempts":2}]}`
+
+// ask sends one request on a connection and reads its answer.
+func ask(t testing.TB, c net.Conn, r *bufio.Reader, method, target, id, body string) (*http.Response, string) {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Saddleport-Attempt-Id: %s\r\nX-Saddleport-Deadline-Ms: 2000\r\n", method, target, id)
+	if body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	_, err := io.WriteString(c, text+"\r\n"+body)
+	require.NoError(t, err)
+	p, err := http.ReadResponse(r, &http.Request{Method: method})
+	require.NoError(t, err)
+	b, err := io.ReadAll(p.Body)
+	require.NoError(t, err)
+	return p, string(b)
+}
+
+func BenchmarkGather(b *testing.B) {
+	p := newProxy(b, nil)
+	p.charter(four)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		for i := range 2 {
+			s, err := standin.NewServer(fmt.Sprint("i-", name, i), func(int, standin.Seen) standin.Reply {
+				return standin.Reply{Body: strings.Repeat("0123456789abcdef", 10)}
+			})
+			require.NoError(b, err)
+			b.Cleanup(s.Close)
+			p.server(name, s)
+		}
+	}
+	c, err := net.Dial("tcp4", p.addr)
+	require.NoError(b, err)
+	defer c.Close()
+	r := bufio.NewReader(c)
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		ans, body := ask(b, c, r, "GET", "/all/x", fmt.Sprint("id", i), "")
+		if ans.StatusCode != 200 || len(body) != 48 {
+			b.Fatal(ans.Status, body, ans.Header)
+		}
+	}
+}
--- a/internal/weave/role/keel.go
+++ b/internal/weave/role/keel.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"saddleport/internal/fabric/chain"
 	"saddleport/internal/fabric/charter"
 	"saddleport/internal/fabric/helm"
@@ -69,7 +71,7 @@
 		events.ServerLeft.Log("server", who.Name)
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.put(k.roster.Left(who.Name), passTimes)
+		k.put(k.roster.Left(who.Name), true)
 		return Nothing{}, nil
 	})
 	replaceCall.On(outer, k.replace)
@@ -106,7 +108,7 @@
 			k.mu.Lock()
 			for _, i := range k.roster.Tick(k.now()) {
 				events.ServerSilent.Log("server", i.Key)
-				k.put(i, passTimes)
+				k.put(i, true)
 			}
 			k.mu.Unlock()
 		}
@@ -117,12 +119,13 @@
 func (k *keel) told(i rumour.Item) {
 	if len(i.Key) > 2 && i.Key[:2] == roster.Prefix {
 		if news, is := k.roster.Told(k.now(), i); is {
-			k.put(news, passTimes)
+			k.put(news, true)
 		}
 	}
 }
 
 func (k *keel) beat(_ context.Context, who calls.Named, b roster.Beat) (Beaten, error) {
+	near := k.near(who.Name, b.Zone)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	held, known := k.book.Get(roster.Prefix + who.Name)
@@ -137,9 +140,37 @@
 		} else if b.State == "draining" {
 			events.ServerDrains.Log("server", who.Name, "service", b.Service)
 		}
-		k.put(news, passTimes)
+		k.put(news, true)
+	}
+	return Beaten{Endpoint: near}, nil
+}
+
+// near names the core machine that a server is to beat at: one of its zone, else of its
+// region, the same one for as long as the core stays as it is. "": this one will do.
+func (k *keel) near(server, zone string) string {
+	region := k.set.Boot().Regions[zone]
+	far := func(p Process) int {
+		switch {
+		case p.Zone == zone:
+			return 0
+		case p.Region == region && region != "":
+			return 1
+		}
+		return 2
+	}
+	best, least, most := k.self, far(k.self), uint64(0)
+	if least == 0 {
+		return ""
+	}
+	for _, p := range k.awake(k.Peers("keel")) {
+		if d, h := far(p), xxhash.Sum64String(server+p.Addr); p.Control != "" && (d < least || d == least && best.Addr != k.self.Addr && h > most) {
+			best, least, most = p, d, h
+		}
+	}
+	if best.Addr == k.self.Addr {
+		return ""
 	}
-	return Beaten{}, nil
+	return best.Control
 }
 
 func (k *keel) replace(ctx context.Context, who calls.Named, raw calls.Raw) (Nothing, error) {
--- a/internal/weave/role/node.go
+++ b/internal/weave/role/node.go
@@ -18,14 +18,14 @@
 const (
 	gossipEvery = 100 * time.Millisecond // while there is something to pass on
 	digestEvery = time.Second
-	passTo      = 2 // peers that one message's news goes to
-	passTimes   = 3 // messages that a piece of news goes out in from one process
+	passTo      = 2 // peers of the own zone that one message's news goes to
+	passTimes   = 2 // messages that a piece of news goes out in from one process
 	callTime    = 900 * time.Millisecond
 	dialPeer    = 500 * time.Millisecond
 	mostCall    = 8 << 20
 	restMost    = 8 * time.Second // the longest a peer that does not answer is left alone
 	aloneTries  = 5               // of joining, before that is told
-	nearTimes   = 3               // of four digests, so many are compared within the zone
+	wideEvery   = 8               // of so many digests one is compared with another zone's; a core process's: half of them
 )
 
 // Pass is what two processes say to one another of news.
@@ -92,7 +92,7 @@
 		changed: make(chan struct{}), hot: make(chan struct{}, 1), rests: make(map[string]*rest)}
 	n.self = Process{Addr: boot.Inner(), Name: boot.Name, Kind: kind, Zone: boot.Zone, Region: boot.Region, Control: boot.Control}
 	n.mu.Lock()
-	n.put(n.selfItem(2), passTimes)
+	n.put(n.selfItem(2), true)
 	n.mu.Unlock()
 	return n
 }
@@ -104,21 +104,19 @@
 
 func (n *Node) now() int64 { return time.Since(n.start).Microseconds() }
 
-// put takes news. Under mu.
-func (n *Node) put(i rumour.Item, passes int) bool {
+// put takes news, to be passed on within the zone or to all. Under mu.
+func (n *Node) put(i rumour.Item, wide bool) bool {
 	if i.Key == processes+n.self.Addr && i.Rank > 2 {
 		if held, _ := n.book.Get(i.Key); i.Rank > held.Rank && (i.Gone() || i.Rank%2 == 1) { // we live
 			i = n.selfItem((i.Rank/2 + 1) * 2)
 		}
 	}
-	if !n.book.Put(n.now(), i, passes) {
+	if !n.book.Put(n.now(), i, passTimes, wide) {
 		return false
 	}
-	if passes > 0 {
-		select {
-		case n.hot <- struct{}{}:
-		default:
-		}
+	select {
+	case n.hot <- struct{}{}:
+	default:
 	}
 	if n.took != nil {
 		n.took(i)
@@ -133,7 +131,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, i := range items {
-		n.put(i, passTimes)
+		n.put(i, true)
 	}
 }
 
@@ -143,7 +141,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		for _, i := range p.News {
-			n.put(i, passTimes)
+			n.put(i, false)
 		}
 		ans := Passed{Want: n.book.Lacks(p.Marks), News: n.book.Pick(p.Ask)}
 		if p.Sum != 0 && p.Sums == nil {
@@ -193,7 +191,7 @@
 	if err == nil {
 		delete(n.rests, addr)
 		for _, i := range ans.News {
-			n.put(i, passTimes)
+			n.put(i, false)
 		}
 		return ans, nil
 	}
@@ -223,7 +221,7 @@
 	n.join(ctx)
 	digest := time.NewTicker(digestEvery)
 	defer digest.Stop()
-	for round := rand.IntN(4); ; {
+	for round := rand.IntN(wideEvery); ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -263,31 +261,44 @@
 	}
 }
 
-// spread passes hot news on.
+// spread passes hot news on: to some of the own zone, and what began here to one process
+// of every other zone, where it is then passed on in turn. Ways between zones are dear.
 func (n *Node) spread(ctx context.Context) {
 	peers := n.awake(n.Peers(""))
 	n.mu.Lock()
-	small, large := n.book.Hot()
+	near, wide := n.book.Hot()
 	idle := n.book.Idle()
 	n.mu.Unlock()
-	if len(small)+len(large) > 0 {
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		var wait sync.WaitGroup
-		for _, p := range peers[:min(passTo, len(peers))] {
-			wait.Add(1)
-			go func() {
-				defer wait.Done()
-				ans, err := n.pass(ctx, p.Addr, Pass{News: small, Marks: large})
-				if err == nil && len(ans.Want) > 0 {
-					n.mu.Lock()
-					news := n.book.Pick(ans.Want)
-					n.mu.Unlock()
-					n.pass(ctx, p.Addr, Pass{News: news})
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	zones := make(map[string][]string)
+	for _, p := range peers {
+		zones[p.Zone] = append(zones[p.Zone], p.Addr)
+	}
+	var wait sync.WaitGroup
+	give := func(m rumour.Message, to ...string) {
+		if m.Empty() {
+			return
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for _, addr := range to { // the next one where one does not answer
+				if n.give(ctx, addr, m) {
+					return
 				}
-			}()
+			}
+		}()
+	}
+	for zone, addrs := range zones {
+		if zone == n.self.Zone {
+			for i := range min(passTo, len(addrs)) {
+				give(near, addrs[i])
+			}
+		} else {
+			give(wide, addrs[:min(len(addrs), 3)]...)
 		}
-		wait.Wait()
 	}
+	wait.Wait()
 	if !idle {
 		select {
 		case n.hot <- struct{}{}:
@@ -296,13 +307,29 @@
 	}
 }
 
+// give hands news to one process, and tells whether it took it.
+func (n *Node) give(ctx context.Context, addr string, m rumour.Message) bool {
+	ans, err := n.pass(ctx, addr, Pass{News: m.Small, Marks: m.Large})
+	if err == nil && len(ans.Want) > 0 {
+		n.mu.Lock()
+		news := n.book.Pick(ans.Want)
+		n.mu.Unlock()
+		_, err = n.pass(ctx, addr, Pass{News: news})
+	}
+	return err == nil
+}
+
 // compare finds out from one peer what either lacks; mostly one of the own zone.
 func (n *Node) compare(ctx context.Context, round int) {
 	n.mu.Lock()
 	n.book.Forget(n.now())
 	n.mu.Unlock()
 	peers := n.awake(n.Peers(""))
-	if round%4 < nearTimes {
+	every := wideEvery
+	if n.self.Kind == "keel" {
+		every = 2
+	}
+	if round%every != 0 {
 		if near := slices.DeleteFunc(slices.Clone(peers), func(p Process) bool { return p.Zone != n.self.Zone }); len(near) > 0 {
 			peers = near
 		}
--- a/internal/weave/role/tide.go
+++ b/internal/weave/role/tide.go
@@ -178,7 +178,7 @@
 	var told []reach.Server
 	now := time.Since(t.start).Microseconds()
 	for _, i := range items {
-		if !t.book.Put(now, i, 1) {
+		if !t.book.Put(now, i, 1, false) {
 			continue
 		}
 		switch {
