Search of the core's schedules on the command line; tests of the parts; show and check

lens search plays schedules of crashes, lost disks, cuts and stalls over chain and view, shrinks what breaks a rule, and can leave a rule out.

--- /dev/null
+++ b/cmd/lens/main.go
@@ -0,0 +1,19 @@
+// Command lens is the toolbox of the system.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"saddleport/internal/lab/seek"
+	"saddleport/internal/weave/command"
+)
+
+func main() {
+	lens := command.Lens()
+	lens.AddCommand(seek.Command())
+	if err := lens.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "lens:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/back/reach/reach.go
+++ b/internal/back/reach/reach.go
@@ -28,6 +28,7 @@
 	directWrite  = 8 << 10                // bytes that an idle connection is sure to take at once
 	staleTime    = 2 * time.Second        // so long may an answer to a part given up hold its connection
 	idleTime     = 30 * time.Second       // a connection that rests longer is closed
+	onceRest     = 3 * time.Second        // a request that can't be repeated takes no connection that rested longer
 	idleMargin   = 700 * time.Millisecond // before the time that its server states
 	sweepEvery   = time.Second
 	mostAnswer   = 1 << 20 // bytes of an answer's body
@@ -220,6 +221,9 @@
 			c.end(choice.ConnectionLost)
 			continue
 		}
+		if k.a.Once() && now.Sub(c.restAt) > onceRest {
+			break // the others have rested longer still
+		}
 		c.send(k, now)
 		return
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -37,6 +37,7 @@
 	Patience time.Duration // how long the client waits, from TakenAt
 	Parts    []Part
 	Gather   bool    // its answer is made of its parts'
+	Once     bool    // it may not be repeated
 	Least    float64 // share that will do where there is no room for the class's; 0: none less
 	// Done gets the one final answer, on the exchange's goroutine: it must not block.
 	Done func(Final)
@@ -115,6 +116,9 @@
 // Gather tells whether the query that an attempt is for has several parts.
 func (a *Attempt) Gather() bool { return a.part.q.Gather }
 
+// Once tells whether the query that an attempt is for may not be repeated.
+func (a *Attempt) Once() bool { return a.part.q.Once }
+
 // Leaves is the client side. Its methods must not block; each attempt that is
 // sent must come back by Ended, soon after GiveUp at the latest.
 type Leaves interface {
--- a/internal/fabric/pact/pact.go
+++ b/internal/fabric/pact/pact.go
@@ -68,7 +68,7 @@
 	at       int64
 	promises map[chain.Member]promise
 	joined   map[chain.Member]bool // joiners that answered in this ballot
-	value    *chain.View // in the second phase
+	value    *chain.View           // in the second phase
 	accepts  map[chain.Member]bool
 }
 
--- a/internal/fabric/roster/roster.go
+++ b/internal/fabric/roster/roster.go
@@ -36,6 +36,10 @@
 	Silent
 )
 
+func (s State) String() string {
+	return [...]string{"available", "draining", "silent"}[min(max(s, 0), Silent)]
+}
+
 // Prefix begins the keys of servers among the news.
 const Prefix = "s/"
 
@@ -194,5 +198,5 @@
 	return news
 }
 
-// Heard here counts the servers that beat here.
+// Len counts the servers that beat here.
 func (r *Roster) Len() int { return len(r.mine) }
--- /dev/null
+++ b/internal/fabric/roster/roster_test.go
@@ -0,0 +1,99 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"saddleport/internal/fabric/rumour"
+)
+
+func beat(seq int64, state string) Beat {
+	return Beat{Service: "s", Addr: "10.0.0.1:80", Zone: "z", Capacity: 3, State: state, Sequence: seq}
+}
+
+func TestRoster(t *testing.T) {
+	none := rumour.Item{}
+	Convey("A beat is news once; only what changes is news again", t, func() {
+		r := New("k1", 1000)
+		first, is, err := r.Heard(1, "i", beat(1, "available"), none, false)
+		So(is && err == nil, ShouldBeTrue)
+		_, is, _ = r.Heard(2, "i", beat(2, "available"), first, true)
+		So(is, ShouldBeFalse)
+		drain, is, _ := r.Heard(3, "i", beat(3, "draining"), first, true)
+		So(is && drain.Rank > first.Rank, ShouldBeTrue)
+		_, is, _ = r.Heard(4, "i", beat(2, "available"), drain, true) // late
+		So(is, ShouldBeFalse)
+		left := r.Left("i")
+		So(left.Gone() && left.Rank > drain.Rank, ShouldBeTrue)
+		_, is, _ = r.Heard(5, "i", beat(9, "available"), left, true)
+		So(is, ShouldBeFalse)
+	})
+	Convey("Silence here is contradicted by whoever has heard a later beat", t, func() {
+		a, b := New("a", 1000), New("b", 1000)
+		first, _, _ := a.Heard(0, "i", beat(1, "available"), none, false)
+		moved, is, _ := b.Heard(900, "i", beat(2, "available"), first, true)
+		So(is, ShouldBeTrue) // another hears it now
+		silent := a.Tick(1500)
+		So(silent, ShouldHaveLength, 1)
+		So(silent[0].Rank, ShouldBeLessThan, moved.Rank)
+		_, is = a.Told(1500, moved)
+		So(is, ShouldBeFalse)
+		// Even where the news of silence ranks above what b has said so far.
+		b.Heard(1600, "i", beat(4, "available"), moved, true)
+		late := rumour.Item{Key: Prefix + "i", Rank: 3<<shift | silence, Body: []byte(`{"s":"s","t":2,"b":"a"}`)}
+		again, is := b.Told(1700, late)
+		So(is && again.Rank > late.Rank, ShouldBeTrue)
+	})
+	Convey("A beat that can't be is refused", t, func() {
+		r := New("k", 1000)
+		for _, b := range []Beat{{}, beat(-1, "available"), beat(1, "resting"), {Service: "s", Addr: "nowhere", State: "available"}} {
+			_, _, err := r.Heard(1, "i", b, none, false)
+			So(err, ShouldNotBeNil)
+		}
+	})
+	Convey("Whatever order beats and news come in, ranks only rise and a life that left stays gone", t, func() {
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 300 {
+			rs := []*Roster{New("a", 500), New("b", 500), New("c", 500)}
+			books := []*rumour.Book{rumour.NewBook(), rumour.NewBook(), rumour.NewBook()}
+			seq, now, gone := int64(0), int64(0), false
+			for range 60 {
+				now += rng.Int64N(200)
+				i := rng.IntN(3)
+				held, known := books[i].Get(Prefix + "i")
+				switch rng.IntN(6) {
+				case 0, 1:
+					seq++
+					state := "available"
+					if rng.IntN(4) == 0 {
+						state = "draining"
+					}
+					if news, is, err := rs[i].Heard(now, "i", beat(seq-rng.Int64N(2), state), held, known); err == nil && is {
+						books[i].Put(now, news, 1, false)
+					}
+				case 2:
+					for _, news := range rs[i].Tick(now) {
+						books[i].Put(now, news, 1, false)
+					}
+				case 3:
+					if rng.IntN(10) == 0 {
+						gone = true
+						books[i].Put(now, rs[i].Left("i"), 1, false)
+					}
+				default:
+					if item, ok := books[rng.IntN(3)].Get(Prefix + "i"); ok && books[i].Put(now, item, 1, false) {
+						if news, is := rs[i].Told(now, item); is {
+							books[i].Put(now, news, 1, false)
+						}
+					}
+				}
+				if after, ok := books[i].Get(Prefix + "i"); known && (!ok || after.Rank < held.Rank || held.Gone() && !after.Gone()) {
+					t.Fatalf("went back from %+v to %+v", held, after)
+				}
+			}
+			_ = gone
+		}
+	})
+}
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -63,7 +63,8 @@
 	}
 	c.Queried()
 	l := p.lanes[route]
-	q := &exchange.Query{ID: r.Header.Get(headID), Class: l.class, TakenAt: at, Gather: len(route.Fanout) > 0, Least: route.Least}
+	q := &exchange.Query{ID: r.Header.Get(headID), Class: l.class, TakenAt: at, Gather: len(route.Fanout) > 0,
+		Once: !route.Repeatable, Least: route.Least}
 	if q.ID == "" || len(q.ID) > maxID {
 		q.ID = "~" + strconv.FormatInt(g.number.Add(1), 10)
 	}
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -32,6 +32,7 @@
 	gate    *gate.Gate
 	front   *front.Front
 	numbers gate.Shards
+	servers map[string]*standin.Server // by service: the last that was added
 }
 
 func newProxy(t testing.TB, change func(*choice.Settings)) *proxy {
@@ -44,7 +45,8 @@
 	}
 	x, err := exchange.New(1, set)
 	require.NoError(t, err)
-	p := &proxy{t: t, x: x, gate: &gate.Gate{Exchange: x}, back: reach.New(reach.Config{Exchange: x, MaxConns: 500})}
+	p := &proxy{t: t, x: x, gate: &gate.Gate{Exchange: x}, back: reach.New(reach.Config{Exchange: x, MaxConns: 500}),
+		servers: make(map[string]*standin.Server)}
 	p.front = front.New(front.Config{Exchange: x, Protocol: p.gate, MaxClients: 500,
 		Pace: front.Pace{First: time.Minute, Request: time.Minute, Idle: time.Minute}})
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -69,6 +71,7 @@
 }
 
 func (p *proxy) server(service string, s *standin.Server) {
+	p.servers[service] = s
 	n, err := p.numbers.Of(service)
 	require.NoError(p.t, err)
 	p.back.Told([]reach.Server{{ID: s.ID, Addr: s.Addr}})
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -20,6 +20,8 @@
 const (
 	MaxBody = 64 << 10
 	MaxHead = 16 << 10
+
+	bodyStep = 16 << 10 // of a body that was announced, room is made for so much at a time
 )
 
 // Error is a message that can't be taken, with the status that says so.
@@ -276,10 +278,18 @@
 		if length == 0 {
 			return nil, nil
 		}
-		// Room is made for what has come, not for what was announced.
+		// Room is made for what has come, not for all that was announced.
 		r.limit.left = length
-		body, err := io.ReadAll(io.LimitReader(r.buf, int64(length)))
-		if err == nil && len(body) < length {
+		var body []byte
+		var err error
+		for at := 0; at < length && err == nil; {
+			body = append(body, make([]byte, min(length-at, bodyStep))...)
+			var n int
+			n, err = io.ReadFull(r.buf, body[at:])
+			at += n
+			body = body[:at]
+		}
+		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
 		return body, err
--- a/internal/lab/seek/seek.go
+++ b/internal/lab/seek/seek.go
@@ -40,6 +40,7 @@
 	Start
 	Wipe
 	Cut
+	Isolate
 	Heal
 	Stall
 	Put
@@ -47,10 +48,13 @@
 	kinds
 )
 
-var names = [kinds]string{"deliver", "double", "drop", "sync", "tick", "crash", "start", "wipe", "cut", "heal", "stall", "put", "get"}
+var names = [kinds]string{"deliver", "double", "drop", "sync", "tick", "crash", "start", "wipe", "cut", "isolate", "heal", "stall", "put", "get"}
 
-// How often each kind is drawn.
-var weights = [kinds]int{60, 3, 4, 40, 22, 3, 5, 1, 2, 3, 1, 6, 4}
+// How often each kind is drawn, before a schedule's own bias: what one schedule does much
+// of, another hardly does at all, and what only comes about in quiet comes about too.
+var weights = [kinds]float64{120, 6, 6, 90, 50, 3, 14, 2, 1, 2, 2, 1, 16, 14}
+
+var biases = []float64{0.05, 0.3, 1, 1, 3}
 
 // Step is one step. A and B pick what it is done to, modulo what there is.
 type Step struct {
@@ -63,16 +67,19 @@
 // Draw makes a schedule of a seed.
 func Draw(p Plan, seed uint64) []Step {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	total := 0
-	for _, w := range weights {
-		total += w
+	total, own := 0.0, weights
+	for k := range own {
+		if Kind(k) != Deliver && Kind(k) != Sync && Kind(k) != Tick {
+			own[k] *= biases[rng.IntN(len(biases))]
+		}
+		total += own[k]
 	}
 	steps := make([]Step, p.Steps)
 	for i := range steps {
-		x := rng.IntN(total)
+		x := rng.Float64() * total
 		k := 0
-		for ; x >= weights[k]; k++ {
-			x -= weights[k]
+		for ; k < len(own)-1 && x >= own[k]; k++ {
+			x -= own[k]
 		}
 		steps[i] = Step{Kind(k), rng.IntN(1 << 20), rng.IntN(1 << 20)}
 	}
@@ -83,18 +90,16 @@
 	addr    string
 	up      bool
 	stalled bool
-	lost    bool // its disk was lost, and the view still counts on it
 	lives   int
 	disks   int
+	epoch   uint64 // of the view that was looked at last, in this life
+	life    int
 	m       *helm.Machine
 	disk    *helm.Record
 	pending []helm.Output
 }
 
-type mail struct {
-	msg chain.Message
-	n   int
-}
+type mail struct{ msg chain.Message }
 
 type asked struct {
 	floor   uint64 // acknowledged before it was asked
@@ -200,7 +205,8 @@
 	}
 	n.pending = append(n.pending, out)
 	v := n.m.Pact.View
-	if v.Epoch > 0 {
+	if v.Epoch > 0 && (v.Epoch != n.epoch || n.life != n.lives) {
+		n.epoch, n.life = v.Epoch, n.lives
 		text := fmt.Sprintf("%v chain %v base %d", v.Members, v.Chain, v.Base)
 		if was, known := w.views[v.Epoch]; !known {
 			w.views[v.Epoch] = text
@@ -279,25 +285,29 @@
 	n := len(w.nodes)
 	i := s.A % n
 	switch s.Kind {
-	case Deliver, Double:
-		if len(w.mail) == 0 {
-			return
+	case Deliver:
+		for range 1 + s.B%4 { // beats alone are many: what is slower than they come is never heard
+			if len(w.mail) > 0 {
+				j := s.A % min(len(w.mail), 1+s.B%8) // mostly about in order
+				msg := w.mail[j].msg
+				w.mail = append(w.mail[:j:j], w.mail[j+1:]...)
+				w.deliver(msg)
+			}
 		}
-		j := s.A % min(len(w.mail), 1+s.B%8) // mostly about in order
-		msg := w.mail[j].msg
-		if s.Kind == Deliver || w.mail[j].n > 1 {
-			w.mail = append(w.mail[:j:j], w.mail[j+1:]...)
-		} else {
-			w.mail[j].n++
+	case Double:
+		if len(w.mail) > 0 {
+			j := s.A % len(w.mail)
+			w.deliver(w.mail[j].msg)
 		}
-		w.deliver(msg)
 	case Drop:
 		if len(w.mail) > 0 {
 			j := s.A % len(w.mail)
 			w.mail = append(w.mail[:j:j], w.mail[j+1:]...)
 		}
 	case Sync:
-		w.sync(i)
+		for range 1 + s.B%3 {
+			w.sync(i)
+		}
 	case Tick:
 		w.tick(int64(20+s.B%300) * step)
 	case Crash:
@@ -314,6 +324,14 @@
 			}
 			w.note("cut %s from %s", w.nodes[i].addr, w.nodes[j].addr)
 		}
+	case Isolate: // one alone: two would leave nobody to go on
+		clear(w.cuts)
+		for j := range n {
+			if i != j {
+				w.cuts[[2]int{i, j}], w.cuts[[2]int{j, i}] = true, true
+			}
+		}
+		w.note("isolate %s", w.nodes[i].addr)
 	case Heal:
 		clear(w.cuts)
 	case Stall:
@@ -396,6 +414,11 @@
 	if whole < len(newest.Members) || behind > 0 {
 		return
 	}
+	for _, n := range w.nodes { // one that has not been taken in again counts too
+		if n.disks > 0 && (n.disk == nil || !newest.Has(n.disk.State.Self)) {
+			return
+		}
+	}
 	w.wipes++
 	w.Seen.Wipes++
 	w.crash(i, 0)
--- a/internal/weave/calls/calls.go
+++ b/internal/weave/calls/calls.go
@@ -13,7 +13,9 @@
 	"io"
 	"net"
 	"net/http"
+	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -32,6 +34,29 @@
 	Who    string // for the docs
 }
 
+var declared []string // a line of the docs' table each
+
+// Declare makes a call and puts it into the table of calls.
+func Declare[Req, Ans any](method, path string, most int64, who string) Call[Req, Ans] {
+	var req Req
+	var ans Ans
+	declared = append(declared, fmt.Sprintf("| `%s %s` | %s | `%s` | `%s` | %d |", method, path, who, kind(req), kind(ans), most))
+	return Call[Req, Ans]{Method: method, Path: path, Most: most, Who: who}
+}
+
+func kind(v any) string {
+	name := fmt.Sprintf("%T", v)
+	return name[strings.LastIndexByte(name, '.')+1:]
+}
+
+// Page prints the table of calls as the operators' page.
+func Page() string {
+	sort.Strings(declared)
+	return "# Calls\n\nWhat the processes of the system answer, JSON over HTTP/1.1. `Raw` is a body carried as it is.\n" +
+		"`lens calls` prints this page; a test holds it to the code.\n\n" +
+		"| call | who may call it | request | answer | bytes at most |\n| --- | --- | --- | --- | --- |\n" + strings.Join(declared, "\n") + "\n"
+}
+
 // Outcome is a status that is no 200, as a value.
 type Outcome struct {
 	Status   int
--- a/internal/weave/command/command.go
+++ b/internal/weave/command/command.go
@@ -57,6 +57,7 @@
 		}
 		return err
 	}})
+	root.AddCommand(checkSettings(file), show(p.Name, file), version(p.Name))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, p.Name+":", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/weave/command/more.go
@@ -0,0 +1,128 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"saddleport/internal/fabric/charter"
+	"saddleport/internal/weave/calls"
+	"saddleport/internal/weave/events"
+	"saddleport/internal/weave/role"
+)
+
+const showTime = 3 * time.Second
+
+func checkSettings(file *string) *cobra.Command {
+	return &cobra.Command{Use: "check [FILE]", Short: "Check a settings file; what is wrong is told by its line or path", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			name := *file
+			if len(args) > 0 {
+				name = args[0]
+			}
+			if name == "" {
+				return errors.New("no settings file: name one, or set " + role.Variable)
+			}
+			b, err := role.Load(name)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: good: %s on a %s machine in %s, %d seeds, %d machines may be lost at once\n", name, b.Name, b.Role, b.Zone, len(b.Seeds), b.Faults)
+			return nil
+		}}
+}
+
+func checkConfig() *cobra.Command {
+	return &cobra.Command{Use: "config FILE", Short: "Check a configuration; what is wrong is told by its path", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			raw, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			ch, err := charter.Read(raw)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			gathered := 0
+			for _, r := range ch.Routes {
+				if len(r.Fanout) > 0 {
+					gathered++
+				}
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: good: version %d, %d routes (%d gathered), %d services\n", args[0], ch.Revision, len(ch.Routes), gathered, len(ch.Services))
+			return nil
+		}}
+}
+
+func show(program string, file *string) *cobra.Command {
+	var addr string
+	var asJSON bool
+	cmd := &cobra.Command{Use: "show", Short: "Show what the running " + program + " holds: routes, servers, view, versions", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if addr == "" {
+				b, err := role.Load(*file)
+				if err != nil {
+					return fmt.Errorf("%w (or name --addr HOST:PORT)", err)
+				}
+				addr = role.ShowAt(program, b)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), showTime)
+			defer cancel()
+			s, err := role.ShowCall.Ask(ctx, calls.NewClient(time.Second), addr, "", nil)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				e := json.NewEncoder(c.OutOrStdout())
+				e.SetIndent("", "  ")
+				return e.Encode(s)
+			}
+			fmt.Fprint(c.OutOrStdout(), s.Text())
+			return nil
+		}}
+	cmd.Flags().StringVar(&addr, "addr", "", "where it answers; else as its settings file says")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	return cmd
+}
+
+func version(program string) *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Tell the build", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
+		text := "unknown build"
+		if info, ok := debug.ReadBuildInfo(); ok {
+			text = info.GoVersion
+			for _, s := range info.Settings {
+				if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
+					text += " " + s.Key + "=" + s.Value
+				}
+			}
+		}
+		fmt.Fprintln(c.OutOrStdout(), program, text)
+	}}
+}
+
+// Lens is the toolbox's command line.
+func Lens() *cobra.Command {
+	root := &cobra.Command{Use: "lens", Short: "the toolbox of the system: checks, and looks at running processes", SilenceUsage: true, SilenceErrors: true}
+	file := root.PersistentFlags().String("settings", os.Getenv(role.Variable), "a settings file; "+role.Variable+" names it too")
+	check := &cobra.Command{Use: "check", Short: "Check files"}
+	settings := checkSettings(file)
+	settings.Use = "settings [FILE]"
+	check.AddCommand(settings, checkConfig())
+	looks := &cobra.Command{Use: "show", Short: "Show what a running process holds"}
+	for _, p := range []Program{Tide, Echo, Keel} {
+		s := show(p.Name, file)
+		s.Use = p.Name
+		looks.AddCommand(s)
+	}
+	root.AddCommand(check, looks, version("lens"), &cobra.Command{Use: "events", Short: "Print the catalogue of events", Args: cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) { fmt.Fprint(c.OutOrStdout(), events.Page()) }},
+		&cobra.Command{Use: "calls", Short: "Print the table of calls", Args: cobra.NoArgs,
+			Run: func(c *cobra.Command, _ []string) { fmt.Fprint(c.OutOrStdout(), calls.Page()) }})
+	return root
+}
--- a/internal/weave/role/boot.go
+++ b/internal/weave/role/boot.go
@@ -17,6 +17,7 @@
 type Boot struct {
 	Name, Role, IP, Zone, Region string
 	Regions                      map[string]string // by zone
+	LoopIP                       string            // of the machine's own loopback
 	Front, Ready, Control        string            // addresses to listen on; "": none
 	Port, LastPort               int               // of the range between processes
 	Seeds                        []string
@@ -61,7 +62,7 @@
 	s := func(path string) time.Duration { return time.Duration(r.At(path).Number() * float64(time.Second)) }
 	b := &Boot{
 		Name: r.At("node_name").Must().Text(), Role: r.At("role").Text(), IP: r.At("ip_address").Must().Text(),
-		Zone: r.At("zone").Text(), Region: r.At("region").Text(), Regions: make(map[string]string),
+		LoopIP: "127.0.0.1", Zone: r.At("zone").Text(), Region: r.At("region").Text(), Regions: make(map[string]string),
 		Front: r.At("listen_addresses.front").Text(), Ready: r.At("listen_addresses.readiness").Text(),
 		Control:   r.At("listen_addresses.control_plane").Text(),
 		Bootstrap: r.At("bootstrap").Bool(), Counts: r.At("counts_toward_quorum").Bool(),
@@ -102,7 +103,7 @@
 func (b *Boot) Inner() string { return net.JoinHostPort(b.IP, strconv.Itoa(b.Port)) }
 
 // Loop is the agent's address on its own machine.
-func (b *Boot) Loop() string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(b.Port+1)) }
+func (b *Boot) Loop() string { return net.JoinHostPort(b.LoopIP, strconv.Itoa(b.Port+1)) }
 
 // SeedPeers are the addresses between processes of the machines that the seeds name.
 func (b *Boot) SeedPeers() []string {
--- a/internal/weave/role/core.go
+++ b/internal/weave/role/core.go
@@ -30,7 +30,7 @@
 	Messages []chain.Message `json:"m"`
 }
 
-var mailCall = calls.Call[Mail, Nothing]{Method: "POST", Path: "/Core.Mail", Most: 4 * mostCall, Who: "core processes"}
+var mailCall = calls.Declare[Mail, Nothing]("POST", "/Core.Mail", 4*mostCall, "core processes")
 
 const (
 	coreTick    = 100 * time.Millisecond
--- a/internal/weave/role/echo.go
+++ b/internal/weave/role/echo.go
@@ -30,7 +30,7 @@
 	Items []rumour.Item `json:"items,omitempty"`
 }
 
-var feedCall = calls.Call[Feed, Fed]{Method: "POST", Path: "/Feed", Most: mostCall, Who: "the proxy on the same machine"}
+var feedCall = calls.Declare[Feed, Fed]("POST", "/Feed", mostCall, "the proxy on the same machine")
 
 const (
 	feedWait   = 10 * time.Second
@@ -74,6 +74,7 @@
 		held, _ := n.book.Get(charterAt)
 		return Fed{Life: life, Seq: n.book.Seq(), Want: f.Rank > held.Rank, Items: n.book.Since(f.Since)}, nil
 	})
+	onShow(loop, "echo", boot.Name, n.start, n.tables)
 	inner := http.NewServeMux()
 	n.Serve(inner)
 	lnLoop, err := link.Listen(ctx, boot.Loop())
--- /dev/null
+++ b/internal/weave/role/fleet_test.go
@@ -0,0 +1,290 @@
+package role
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"saddleport/internal/fabric/roster"
+	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/lab/standin"
+	"saddleport/internal/weave/calls"
+	"saddleport/internal/weave/events"
+)
+
+// fleet is the system's processes, as goroutines, each machine at a loopback address of
+// its own.
+type fleet struct {
+	t     *testing.T
+	net   string
+	port  int
+	seeds string
+	dirs  map[string]string
+	stops map[string]func()
+}
+
+func newFleet(t *testing.T) *fleet {
+	events.To(io.Discard)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	port := ln.Addr().(*net.TCPAddr).Port
+	ln.Close()
+	if port > 65000 {
+		port -= 1000
+	}
+	f := &fleet{t: t, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250)), port: port,
+		dirs: make(map[string]string), stops: make(map[string]func())}
+	f.seeds = fmt.Sprintf("%s,%s,%s", f.control(1), f.control(2), f.control(3))
+	t.Cleanup(func() {
+		for _, stop := range f.stops {
+			stop()
+		}
+	})
+	return f
+}
+
+func (f *fleet) ip(machine int) string      { return fmt.Sprintf("%s.%d", f.net, machine) }
+func (f *fleet) control(machine int) string { return fmt.Sprintf("%s:%d", f.ip(machine), f.port+9) }
+func (f *fleet) front(machine int) string   { return fmt.Sprintf("%s:%d", f.ip(machine), f.port+8) }
+
+func (f *fleet) boot(machine int, first bool) *Boot {
+	dir := f.dirs[f.ip(machine)]
+	if dir == "" {
+		dir = f.t.TempDir()
+		f.dirs[f.ip(machine)] = dir
+	}
+	b, err := ParseBoot(fmt.Sprintf("node_name=m%d\nip_address=%s\nzone=z%d\nregion=z%d\ninternal_port_range=%d,%d\nseed_addresses=%s\nbootstrap=%t\n"+
+		"limits.memory_mb=200\nlimits.max_open_files=2000\ndata_directory=%s\nheartbeat_interval_ms=1000\nfault_tolerance.machines=1\n"+
+		"listen_addresses.control_plane=%s\nlisten_addresses.front=%s\nlisten_addresses.readiness=%s:%d\n"+
+		"bounds.drain_ms=4000\nbounds.grace_s=1\nbounds.retry_window_s=10\nbounds.retry_budget_ratio=0.2\nbounds.retry_budget_slack=58",
+		machine, f.ip(machine), machine%3, machine%3, f.port, f.port+7, f.seeds, first, dir, f.control(machine), f.front(machine), f.ip(machine), f.port+7))
+	So(err, ShouldBeNil)
+	b.LoopIP = f.ip(machine)
+	return b
+}
+
+// start runs a program on a machine; stop ends it at once, as a kill does.
+func (f *fleet) start(name string, machine int, first bool, run func(context.Context, *Settings) error) {
+	key := fmt.Sprint(name, machine)
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan error, 1)
+	boot := f.boot(machine, first)
+	go func() { over <- run(ctx, Fixed(boot)) }()
+	f.stops[key] = func() {
+		cancel()
+		<-over
+		delete(f.stops, key)
+	}
+}
+
+func (f *fleet) stop(name string, machine int) { f.stops[fmt.Sprint(name, machine)]() }
+
+// until waits for what must come about.
+func until(what string, f func() bool) {
+	end := time.After(20 * time.Second)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !f() {
+		select {
+		case <-end:
+			So(what, ShouldEqual, "come about within 20 s")
+		case <-tick.C:
+		}
+	}
+}
+
+func (f *fleet) call(method, machine, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, method, "http://"+machine+path, strings.NewReader(body))
+	p, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer p.Body.Close()
+	b, _ := io.ReadAll(p.Body)
+	return p.StatusCode, string(b)
+}
+
+func (f *fleet) beat(machine int, s *standin.Server, service, state string, seq int64) int {
+	b, _ := json.Marshal(roster.Beat{Service: service, Addr: s.Addr, Zone: "z1", Capacity: 3, State: state, Sequence: seq})
+	code, _ := f.call("POST", f.control(machine), "/Instances.Heartbeat/"+s.ID, string(b))
+	return code
+}
+
+// get asks a proxy; 0: no answer.
+func (f *fleet) get(machine int, path string) (int, string) {
+	c, err := net.DialTimeout("tcp4", f.front(machine), time.Second)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Saddleport-Attempt-Id: %x\r\nX-Saddleport-Deadline-Ms: 2000\r\n\r\n", path, rand.Uint64())
+	p, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	b, _ := io.ReadAll(p.Body)
+	return p.StatusCode, string(b)
+}
+
+func (f *fleet) shows(program string, machine int, text string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s, err := ShowCall.Ask(ctx, calls.NewClient(time.Second), ShowAt(program, f.boot(machine, false)), "", nil)
+	return err == nil && strings.Contains(s.Text(), text)
+}
+
+func config(version int, prefix string) string {
+	return fmt.Sprintf(`{"revision":%d, "services":[{"name":"s","max_connections":76}],
+ "routes":[{"hostname":"h","path_prefix":"/%s/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"target_service":"s","max_attempts":2}]}`, version, prefix)
+}
+
+// The whole path, and what it bears: no seeds, no core, no agent, no proxy for a while.
+func TestFleet(t *testing.T) {
+	Convey("The system on loopback", t, func() {
+		f := newFleet(t)
+		for m := 1; m <= 3; m++ {
+			f.start("keel", m, true, Keel)
+		}
+		for m := 11; m <= 12; m++ {
+			f.start("echo", m, true, Echo)
+			f.start("tide", m, true, Tide)
+		}
+		a, err := standin.NewServer("i-a", func(int, standin.Seen) standin.Reply { return standin.Reply{Body: "a"} })
+		So(err, ShouldBeNil)
+		defer a.Close()
+		b, err := standin.NewServer("i-b", func(int, standin.Seen) standin.Reply { return standin.Reply{Body: "b"} })
+		So(err, ShouldBeNil)
+		defer b.Close()
+		code := 0
+
+		// A configuration is taken by any core machine and read back at any, byte by byte.
+		until("an acknowledgement", func() bool {
+			code, _ = f.call("POST", f.control(2), "/Config.Replace", config(3, "v3"))
+			return code == 200
+		})
+		for m := 1; m <= 3; m++ {
+			until("a read", func() bool { code, _ = f.call("GET", f.control(m), "/Config.Describe", ""); return code == 200 })
+			_, text := f.call("GET", f.control(m), "/Config.Describe", "")
+			So(text, ShouldEqual, config(3, "v3"))
+		}
+		code, text := f.call("POST", f.control(1), "/Config.Replace", strings.Replace(config(9, "x"), `"s","max`, `"q","max`, 1))
+		So(code, ShouldEqual, 400)
+		So(text, ShouldContainSubstring, "routes[0].target_service")
+		code, _ = f.call("POST", f.control(3), "/Config.Replace", config(2, "old")) // acknowledged, and alters nothing
+		So(code, ShouldEqual, 200)
+		_, text = f.call("GET", f.control(1), "/Config.Describe", "")
+		So(text, ShouldEqual, config(3, "v3"))
+
+		// A server is known by its beats, and a request goes there.
+		until("a beat taken", func() bool { return f.beat(1, a, "s", "available", 1) == 200 })
+		for m := 11; m <= 12; m++ {
+			until("a request served", func() bool { code, text = f.get(m, "/v3/x"); return code == 200 })
+			So(text, ShouldEqual, "a")
+			ready, _ := f.call("GET", fmt.Sprintf("%s:%d", f.ip(m), f.port+7), "/readiness", "")
+			So(ready, ShouldEqual, 200)
+			code, _ = f.get(m, "/old/x")
+			So(code, ShouldEqual, 404)
+		}
+
+		// A drain reaches every proxy; work goes to the other server.
+		So(f.beat(2, b, "s", "available", 1), ShouldEqual, 200)
+		So(f.beat(3, a, "s", "draining", 2), ShouldEqual, 200)
+		for m := 11; m <= 12; m++ {
+			until("the drain known", func() bool { return f.shows("tide", m, "draining") && f.shows("tide", m, "i-b") })
+		}
+		before := len(a.Seen())
+		for range 20 {
+			code, text = f.get(11, "/v3/x")
+			So(fmt.Sprint(code, text), ShouldEqual, "200b")
+		}
+		So(len(a.Seen()), ShouldEqual, before)
+
+		// A new version is in force everywhere; then the core goes away, and all serve on.
+		until("an acknowledgement", func() bool {
+			code, _ = f.call("POST", f.control(1), "/Config.Replace", config(5, "v5"))
+			return code == 200
+		})
+		for m := 11; m <= 12; m++ {
+			until("the new version in force", func() bool { code, _ = f.get(m, "/v5/x"); return code == 200 })
+			code, _ = f.get(m, "/v3/x")
+			So(code, ShouldEqual, 404)
+		}
+		for m := 1; m <= 3; m++ {
+			f.stop("keel", m)
+		}
+		code, _ = f.get(11, "/v5/x")
+		So(code, ShouldEqual, 200)
+
+		// A proxy that starts again has all of it from its agent at once; an agent that
+		// starts again, without a core, from its proxy and the other agents.
+		f.stop("tide", 11)
+		f.start("tide", 11, false, Tide)
+		until("the restarted proxy serves", func() bool { code, _ = f.get(11, "/v5/x"); return code == 200 })
+		f.stop("echo", 11)
+		f.stop("echo", 12)
+		code, _ = f.get(11, "/v5/x")
+		So(code, ShouldEqual, 200)
+		f.start("echo", 11, false, Echo)
+		until("the agent has its proxy's version back", func() bool { return f.shows("echo", 11, "\n  5 ") })
+		f.stop("tide", 11)
+		f.start("tide", 11, false, Tide)
+		until("the configuration in force again", func() bool { return f.shows("tide", 11, "routes of version 5") })
+
+		// The core comes back with what it acknowledged; one machine's disk is lost.
+		So(os.RemoveAll(f.dirs[f.ip(3)]+"/state"), ShouldBeNil)
+		for m := 1; m <= 3; m++ {
+			f.start("keel", m, false, Keel)
+		}
+		until("a read", func() bool { code, text = f.call("GET", f.control(2), "/Config.Describe", ""); return code == 200 })
+		So(text, ShouldEqual, config(5, "v5"))
+		until("the lost disk made up for", func() bool {
+			return f.shows("keel", 1, f.ip(3)) && !f.shows("keel", 1, f.ip(3)+fmt.Sprintf(":%d/0", f.port)) && f.shows("keel", 1, "tail")
+		})
+	})
+}
+
+// A machine goes back to no older version, whatever its agent tells.
+func TestNeverBack(t *testing.T) {
+	Convey("A proxy that holds version 5 stays there when its agent, started anew, tells 4", t, func() {
+		f := newFleet(t)
+		var raw bytes.Buffer
+		So(json.Compact(&raw, []byte(config(5, "v5"))), ShouldBeNil)
+		loop, given := http.NewServeMux(), make(chan Feed, 100)
+		feedCall.On(loop, func(ctx context.Context, _ calls.Named, q Feed) (Fed, error) {
+			given <- q
+			switch {
+			case len(q.News) > 0:
+				<-ctx.Done()
+			case q.Life == "":
+				return Fed{Life: "one", Seq: 1, Items: []rumour.Item{{Key: charterAt, Rank: 5 << 16, Body: raw.Bytes()}}}, nil
+			}
+			return Fed{Life: "two", Seq: 1, Want: true, Items: []rumour.Item{{Key: charterAt, Rank: 4 << 16, Body: raw.Bytes()}}}, nil
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		ln, err := net.Listen("tcp4", f.boot(11, true).Loop())
+		So(err, ShouldBeNil)
+		go calls.Serve(ctx, ln, loop, time.Minute)
+		f.start("tide", 11, true, Tide)
+		So((<-given).Life, ShouldEqual, "")
+		So((<-given).Rank, ShouldEqual, uint64(5<<16)) // it says what it holds
+		back := <-given
+		So(back.News, ShouldHaveLength, 1) // and gives it back to an agent that lacks it
+		So(back.News[0].Rank, ShouldEqual, uint64(5<<16))
+	})
+}
--- a/internal/weave/role/keel.go
+++ b/internal/weave/role/keel.go
@@ -28,10 +28,10 @@
 type Nothing struct{}
 
 var (
-	beatCall     = calls.Call[roster.Beat, Beaten]{Method: "POST", Path: "/Instances.Heartbeat/{name}", Most: 16 << 10, Who: "servers"}
-	leaveCall    = calls.Call[calls.Raw, Nothing]{Method: "POST", Path: "/Instances.Deregister/{name}", Most: 16 << 10, Who: "servers"}
-	replaceCall  = calls.Call[calls.Raw, Nothing]{Method: "POST", Path: "/Config.Replace", Most: mostCall, Who: "the operator"}
-	describeCall = calls.Call[calls.Raw, calls.Raw]{Method: "GET", Path: "/Config.Describe", Most: mostCall, Who: "the operator"}
+	beatCall     = calls.Declare[roster.Beat, Beaten]("POST", "/Instances.Heartbeat/{name}", 16<<10, "servers")
+	leaveCall    = calls.Declare[calls.Raw, Nothing]("POST", "/Instances.Deregister/{name}", 16<<10, "servers")
+	replaceCall  = calls.Declare[calls.Raw, Nothing]("POST", "/Config.Replace", mostCall, "the operator")
+	describeCall = calls.Declare[calls.Raw, calls.Raw]("GET", "/Config.Describe", mostCall, "the operator")
 )
 
 const (
@@ -66,6 +66,7 @@
 	outer, inner := http.NewServeMux(), http.NewServeMux()
 	k.Node.Serve(inner)
 	k.core.serve(inner)
+	onShow(inner, "keel", boot.Name, k.start, k.tables)
 	beatCall.On(outer, k.beat)
 	leaveCall.On(outer, func(_ context.Context, who calls.Named, _ calls.Raw) (Nothing, error) {
 		events.ServerLeft.Log("server", who.Name)
--- a/internal/weave/role/node.go
+++ b/internal/weave/role/node.go
@@ -47,7 +47,7 @@
 	News    []rumour.Item `json:"n,omitempty"`
 }
 
-var passCall = calls.Call[Pass, Passed]{Method: "POST", Path: "/Rumour.Pass", Most: mostCall, Who: "every agent and core process"}
+var passCall = calls.Declare[Pass, Passed]("POST", "/Rumour.Pass", mostCall, "every agent and core process")
 
 // Process is what is told of a process of the system.
 type Process struct {
--- /dev/null
+++ b/internal/weave/role/show.go
@@ -0,0 +1,196 @@
+package role
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"context"
+
+	"saddleport/internal/fabric/chain"
+	"saddleport/internal/fabric/helm"
+	"saddleport/internal/fabric/roster"
+	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/weave/calls"
+)
+
+// Table is one part of what a running process shows.
+type Table struct {
+	Title string     `json:"title"`
+	Head  []string   `json:"head,omitempty"`
+	Rows  [][]string `json:"rows"`
+}
+
+// Shown is what a running process holds.
+type Shown struct {
+	Program string  `json:"program"`
+	Name    string  `json:"name"`
+	Up      string  `json:"up"`
+	Tables  []Table `json:"tables"`
+}
+
+// ShowCall asks a running process what it holds. It listens where only its own machine or
+// other processes of the system can reach it.
+var ShowCall = calls.Declare[calls.Raw, Shown]("GET", "/Show", mostCall, "`show`, on the same machine or from a core machine")
+
+// ShowAt is where a program answers that.
+func ShowAt(program string, b *Boot) string {
+	switch program {
+	case "tide":
+		return net.JoinHostPort(b.LoopIP, strconv.Itoa(b.Port+2))
+	case "echo":
+		return b.Loop()
+	}
+	return b.Inner()
+}
+
+// Text writes what is shown as tables.
+func (s Shown) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s, up %s\n", s.Program, s.Name, s.Up)
+	for _, t := range s.Tables {
+		fmt.Fprintf(&b, "\n%s\n", t.Title)
+		w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+		if len(t.Head) > 0 {
+			fmt.Fprintln(w, "  "+strings.Join(t.Head, "\t"))
+		}
+		for _, r := range t.Rows {
+			fmt.Fprintln(w, "  "+strings.Join(r, "\t"))
+		}
+		if len(t.Rows) == 0 {
+			fmt.Fprintln(w, "  none")
+		}
+		w.Flush()
+	}
+	return b.String()
+}
+
+func onShow(mux *http.ServeMux, program, name string, start time.Time, tables func(context.Context) ([]Table, error)) {
+	ShowCall.On(mux, func(ctx context.Context, _ calls.Named, _ calls.Raw) (Shown, error) {
+		t, err := tables(ctx)
+		return Shown{Program: program, Name: name, Up: time.Since(start).Round(time.Millisecond).String(), Tables: t}, err
+	})
+}
+
+// newsTables are what a node holds of the news. Under mu.
+func newsTables(book *rumour.Book) []Table {
+	servers := Table{Title: "servers", Head: []string{"service", "server", "address", "zone", "state", "heard by"}}
+	left := 0
+	others := Table{Title: "processes", Head: []string{"name", "kind", "address", "zone"}}
+	version := Table{Title: "configuration", Head: []string{"version", "bytes"}}
+	book.All(func(i rumour.Item) {
+		switch {
+		case strings.HasPrefix(i.Key, roster.Prefix):
+			if s, err := roster.Parse(i); i.Gone() {
+				left++
+			} else if err == nil {
+				servers.Rows = append(servers.Rows, []string{s.Service, s.ID, s.Addr, s.Zone, s.State.String(), s.By})
+			}
+		case strings.HasPrefix(i.Key, processes):
+			var p Process
+			if json.Unmarshal(i.Body, &p) == nil {
+				others.Rows = append(others.Rows, []string{p.Name, p.Kind, strings.TrimPrefix(i.Key, processes), p.Zone})
+			}
+		case i.Key == charterAt:
+			version.Rows = append(version.Rows, []string{fmt.Sprint(chain.Version(i.Rank)), fmt.Sprint(len(i.Body))})
+		}
+	})
+	slices.SortFunc(servers.Rows, slices.Compare)
+	servers.Title = fmt.Sprintf("servers (%d, and %d that have left)", len(servers.Rows), left)
+	return []Table{version, others, servers}
+}
+
+func (n *Node) tables(context.Context) ([]Table, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return newsTables(n.book), nil
+}
+
+func (k *keel) tables(ctx context.Context) ([]Table, error) {
+	var core []Table
+	done := make(chan struct{})
+	err := k.core.do(ctx, func() {
+		core = coreTables(k.core.helm, k.core.now())
+		close(done)
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	news, err := k.Node.tables(ctx)
+	return append(core, news...), err
+}
+
+func coreTables(h *helm.Machine, now int64) []Table {
+	v := h.Pact.View
+	how := h.Pact.Describe(now)
+	view := Table{Title: fmt.Sprintf("view of epoch %d", v.Epoch), Head: []string{"member", "in the chain", "how it is"}}
+	if v.Epoch == 0 {
+		view.Title = "no view yet: waiting to be taken in"
+	}
+	for _, m := range v.Members {
+		at := "no"
+		if i := slices.Index(v.Chain, m); i >= 0 {
+			at = [...]string{"", "head", "tail", "head and tail"}[bit(i == 0)+2*bit(i == len(v.Chain)-1)]
+			if at == "" {
+				at = strconv.Itoa(i + 1)
+			}
+		}
+		view.Rows = append(view.Rows, []string{m.String(), at, how[m.String()]})
+	}
+	held := Table{Title: "kept here", Head: []string{"version", "bytes", "acknowledged", "sealed"}}
+	e := h.Chain.Held()
+	held.Rows = [][]string{{fmt.Sprint(chain.Version(e.Rank)), fmt.Sprint(len(e.Raw)), fmt.Sprint(h.Chain.Sure() >= e.Rank && e.Rank > 0), fmt.Sprint(h.Chain.Sealed())}}
+	return []Table{view, held}
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (t *tide) tables(context.Context) ([]Table, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	routes := Table{Title: "routes: no configuration yet", Head: []string{"host", "prefix", "kind", "aim ms", "timeout ms", "attempts", "to"}}
+	if p := t.gate.Plan(); p != nil {
+		c := p.Charter
+		routes.Title = fmt.Sprintf("routes of version %d (%d, of %d classes)", c.Revision, len(c.Routes), len(p.Classes))
+		for _, r := range c.Routes {
+			kind, to := "once", make([]string, 0, 1)
+			if r.Repeatable {
+				kind = "repeatable"
+			}
+			for _, b := range r.Backends {
+				to = append(to, fmt.Sprintf("%s:%g", b.Service, b.Weight))
+			}
+			if len(r.Fanout) > 0 {
+				kind = fmt.Sprintf("gathered, top %d of %g", r.Limit, r.Least)
+				to = r.Fanout
+			}
+			routes.Rows = append(routes.Rows, []string{r.Host, r.Prefix, kind, fmt.Sprint(r.Aim.Milliseconds()),
+				fmt.Sprint(r.Timeout.Milliseconds()), fmt.Sprint(r.Attempts), strings.Join(to, " ")})
+		}
+	}
+	count := Table{Title: "counters", Head: []string{"counter", "since the start"}}
+	for pair := range strings.FieldsSeq(t.x.Counters.String()) {
+		name, value, _ := strings.Cut(pair, "=")
+		count.Rows = append(count.Rows, []string{name, value})
+	}
+	count.Rows = append(count.Rows, []string{"unrouted_requests", fmt.Sprint(t.gate.Unrouted.Load())})
+	tier := Table{Title: "tier", Head: []string{"proxies known", "of the retry slack"},
+		Rows: [][]string{{fmt.Sprint(t.routers), fmt.Sprint(t.spare)}}}
+	return append([]Table{routes, tier, count}, newsTables(t.book)...), nil
+}
--- a/internal/weave/role/tide.go
+++ b/internal/weave/role/tide.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,11 +46,14 @@
 	back    *reach.Back
 	gate    *gate.Gate
 	client  *calls.Client
-	book    *rumour.Book
 	numbers gate.Shards
 	start   time.Time
-	routers int
 	servers atomic.Int64
+
+	mu      sync.Mutex // the goroutine that follows the agent writes; show reads
+	book    *rumour.Book
+	routers int
+	spare   float64
 	conns   map[string]int // by service: connections that a server takes
 }
 
@@ -99,7 +103,14 @@
 	go t.back.Run(life)
 	go t.follow(life)
 	go from.Watch(life)
-	failed := make(chan error, 2)
+	lnShow, err := link.Listen(ctx, ShowAt("tide", boot))
+	if err != nil {
+		return err
+	}
+	shown := http.NewServeMux()
+	onShow(shown, "tide", boot.Name, t.start, t.tables)
+	failed := make(chan error, 3)
+	go func() { failed <- calls.Serve(life, lnShow, shown, 0) }()
 	go func() { failed <- calls.Serve(life, lnReady, mux, 0) }()
 	go func() {
 		if err := f.Serve(ln); err != nil {
@@ -174,6 +185,8 @@
 
 // take puts news in force.
 func (t *tide) take(items []rumour.Item) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	list := choice.List{Form: choice.Delta}
 	var told []reach.Server
 	now := time.Since(t.start).Microseconds()
@@ -273,7 +286,7 @@
 	t.servers.Store(servers)
 	if routers = max(routers, leastRouters); routers != t.routers {
 		t.routers = routers
-		spare := math.Floor(t.boot.Bounds.RetrySlack / float64(routers) / 2)
-		t.x.Tiered(choice.Tier{Routers: routers, Spare: spare})
+		t.spare = math.Floor(t.boot.Bounds.RetrySlack / float64(routers) / 2)
+		t.x.Tiered(choice.Tier{Routers: routers, Spare: t.spare})
 	}
 }
