--- a/cmd/echo/main.go
+++ b/cmd/echo/main.go
@@ -1,6 +1,6 @@
 // Command echo is the agent beside a proxy.
 package main
 
-import "saddleport/internal/weave/command"
+import "saddleport/internal/node/cli"
 
-func main() { command.Main(command.Echo) }
+func main() { cli.Main(cli.Echo) }
--- a/cmd/keel/main.go
+++ b/cmd/keel/main.go
@@ -1,6 +1,6 @@
 // Command keel is a core process.
 package main
 
-import "saddleport/internal/weave/command"
+import "saddleport/internal/node/cli"
 
-func main() { command.Main(command.Keel) }
+func main() { cli.Main(cli.Keel) }
--- a/cmd/lens/main.go
+++ b/cmd/lens/main.go
@@ -5,17 +5,17 @@
 	"fmt"
 	"os"
 
-	"saddleport/internal/lab/gauge"
-	"saddleport/internal/lab/seek"
+	"saddleport/internal/lab/measure"
+	"saddleport/internal/lab/modelcheck"
 	"saddleport/internal/lab/yard"
-	"saddleport/internal/weave/command"
+	"saddleport/internal/node/cli"
 )
 
 func main() {
-	lens := command.Lens()
-	measure := gauge.Command()
+	lens := cli.Lens()
+	measure := measure.Command()
 	measure.AddCommand(yard.Command())
-	lens.AddCommand(seek.Command(), measure)
+	lens.AddCommand(modelcheck.Command(), measure)
 	if err := lens.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lens:", err)
 		os.Exit(1)
--- a/cmd/tide/main.go
+++ b/cmd/tide/main.go
@@ -1,6 +1,6 @@
 // Command tide is the proxy: takes clients' requests and answers them.
 package main
 
-import "saddleport/internal/weave/command"
+import "saddleport/internal/node/cli"
 
-func main() { command.Main(command.Tide) }
+func main() { cli.Main(cli.Tide) }
--- a/internal/back/reach/reach.go
+++ b/internal/back/reach/reach.go
@@ -18,7 +18,7 @@
 	"saddleport/choice"
 	"saddleport/internal/exchange"
 	"saddleport/internal/httpwire"
-	"saddleport/internal/weave/link"
+	"saddleport/internal/node/transport"
 )
 
 const (
@@ -98,7 +98,7 @@
 
 // New returns a client side that knows no server yet.
 func New(cfg Config) *Back {
-	return &Back{Config: cfg, dial: link.Dialer(dialTime), servers: make(map[string]*server),
+	return &Back{Config: cfg, dial: transport.Dialer(dialTime), servers: make(map[string]*server),
 		calls: make(map[*exchange.Attempt]*call)}
 }
 
--- a/internal/fabric/mend/mend.go
+++ b/internal/cluster/antientropy/antientropy.go
@@ -1,8 +1,8 @@
-// Package mend owns the repair of copies: whoever reads a copy and finds it old has it
+// Package antientropy owns the repair of copies: whoever reads a copy and finds it old has it
 // mended, and a sweep that one process does as its duty finds the rest. It owns how often
 // one copy is mended and how fast the sweep goes. It must never overwrite newer with older,
 // or mend one copy over and over while the first time is still on its way.
-package mend
+package antientropy
 
 import "slices"
 
--- a/internal/fabric/mend/mend_test.go
+++ b/internal/cluster/antientropy/antientropy_test.go
@@ -1,4 +1,4 @@
-package mend
+package antientropy
 
 import (
 	"fmt"
--- a/internal/fabric/chain/chain.go
+++ b/internal/cluster/chain/chain.go
@@ -152,7 +152,7 @@
 	Pact  *Pact  `json:"p,omitempty"`
 }
 
-// Pact is what the messages of the agreement carry besides (package pact).
+// Pact is what the messages of the agreement carry besides (package consensus).
 type Pact struct {
 	Ballot   Ballot    `json:"b"`
 	View     *View     `json:"v,omitempty"`
--- a/internal/fabric/pact/pact.go
+++ b/internal/cluster/consensus/consensus.go
@@ -1,4 +1,4 @@
-// Package pact owns the small agreed view of the core: who its members are, in which
+// Package consensus owns the small agreed view of the core: who its members are, in which
 // order, and which of them form the chain, under an epoch. The members of one view agree
 // on the next, one at a time, by ballots of which more than half must promise and accept
 // (Paxos, one instance an epoch). It owns who may vote: a disk that was lost comes back as
@@ -9,14 +9,14 @@
 // Each view change carries the entry of the highest rank that most members held when they
 // promised it; whoever is in the view holds it. As a chain is more than half of its
 // members, that is at least all that was ever acknowledged.
-package pact
+package consensus
 
 import (
 	"cmp"
 	"fmt"
 	"slices"
 
-	"saddleport/internal/fabric/chain"
+	"saddleport/internal/cluster/chain"
 )
 
 // The messages of the agreement, beside those of the chain.
--- a/internal/fabric/ring/ring.go
+++ b/internal/cluster/failuredetector/failuredetector.go
@@ -1,9 +1,9 @@
-// Package ring owns who watches whom. Each process beats at a few others that its place on
+// Package failuredetector owns who watches whom. Each process beats at a few others that its place on
 // a ring names: mostly of its own zone, one beyond it. A watcher that misses the beats asks
 // the watched itself and its other watchers, and only what more than one of them has seen
 // counts as a death. It must never believe one witness alone where there are two, grow with
 // the number of processes in what it sends, or act on what it finds: it only tells.
-package ring
+package failuredetector
 
 import (
 	"cmp"
--- a/internal/fabric/ring/ring_test.go
+++ b/internal/cluster/failuredetector/failuredetector_test.go
@@ -1,4 +1,4 @@
-package ring
+package failuredetector
 
 import (
 	"fmt"
--- a/internal/fabric/rumour/talk.go
+++ b/internal/cluster/gossip/exchange.go
@@ -1,4 +1,4 @@
-package rumour
+package gossip
 
 // Who is told what, and when: the conversation of one process with the others. It owns no
 // connection: what it wants called comes out as Orders, and how each ended comes back.
--- a/internal/fabric/rumour/rumour.go
+++ b/internal/cluster/gossip/gossip.go
@@ -1,9 +1,9 @@
-// Package rumour owns news: what each process holds of it, what it passes on to whom, and
+// Package gossip owns news: what each process holds of it, what it passes on to whom, and
 // how two processes find by digests what one of them lacks. News is a value under a key
 // with a rank; of two values of a key the one with the higher rank counts, wherever and
 // whenever it comes from. It must never go back to a lower rank, do I/O, or send what the
 // other side was seen to hold.
-package rumour
+package gossip
 
 import (
 	"cmp"
--- a/internal/fabric/rumour/rumour_test.go
+++ b/internal/cluster/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package rumour
+package gossip
 
 import (
 	"fmt"
--- a/internal/fabric/turn/turn.go
+++ b/internal/cluster/lease/lease.go
@@ -1,9 +1,9 @@
-// Package turn owns which duty is whose. Every process has the same order of all processes
+// Package lease owns which duty is whose. Every process has the same order of all processes
 // for a duty; the first of it that lives takes the duty on, under an epoch above all that
 // it has heard of, and whoever does work for a duty refuses epochs below the highest it
 // knows. It must never have two holders under one epoch, hold a duty of which a higher
 // epoch is known, or act: it only tells.
-package turn
+package lease
 
 import (
 	"cmp"
--- a/internal/fabric/turn/turn_test.go
+++ b/internal/cluster/lease/lease_test.go
@@ -1,4 +1,4 @@
-package turn
+package lease
 
 import (
 	"fmt"
--- a/internal/fabric/kin/kin.go
+++ b/internal/cluster/member/member.go
@@ -1,20 +1,20 @@
-// Package kin is what an agent and a core process have in common, as one machine that is
+// Package member is what an agent and a core process have in common, as one machine that is
 // stepped: the conversation of news (rumour), who watches whom (ring), duties (turn) and
 // the sweep over the others' copies (mend). It owns how these are fed by one another: news
 // of processes makes the ring and the order of duties, beats of the ring carry the sum by
 // which copies are compared. It must never know what a piece of news means beyond that, do
 // I/O, or read a clock.
-package kin
+package member
 
 import (
 	"encoding/json"
 	"math/rand/v2"
 	"strings"
 
-	"saddleport/internal/fabric/mend"
-	"saddleport/internal/fabric/ring"
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/fabric/turn"
+	"saddleport/internal/cluster/antientropy"
+	"saddleport/internal/cluster/failuredetector"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/lease"
 )
 
 // Duty is a duty and the kind of processes of which one does it.
@@ -27,9 +27,9 @@
 
 // Config tunes the machines; times are microseconds of the caller's clock.
 type Config struct {
-	Talk   rumour.Config
-	Ring   ring.Config
-	Mend   mend.Config
+	Talk   gossip.Config
+	Ring   failuredetector.Config
+	Mend   antientropy.Config
 	Settle int64 // a process is the first of a duty's order for so long before it claims it
 	Keep   int64 // between looks at what is done now and then
 	Duties []Duty
@@ -37,7 +37,7 @@
 
 // Usual is the configuration for service, with these duties beside the sweep.
 func Usual(more ...Duty) Config {
-	return Config{Talk: rumour.Usual, Ring: ring.Usual, Mend: mend.Usual, Settle: 2_000_000, Keep: 1_000_000, Duties: append([]Duty{Sweep}, more...)}
+	return Config{Talk: gossip.Usual, Ring: failuredetector.Usual, Mend: antientropy.Usual, Settle: 2_000_000, Keep: 1_000_000, Duties: append([]Duty{Sweep}, more...)}
 }
 
 // Noted is something worth a line in the log.
@@ -62,8 +62,8 @@
 
 // Output is what is to be done: calls to make, whose ends come back by Done and Answered.
 type Output struct {
-	Orders []rumour.Order
-	Ask    []ring.Question
+	Orders []gossip.Order
+	Ask    []failuredetector.Question
 	Noted  []Noted
 }
 
@@ -76,14 +76,14 @@
 
 // Machine is one process among the others. It is not safe for concurrent use.
 type Machine struct {
-	Took func(rumour.Item) // after news was taken; nil: nobody
+	Took func(gossip.Item) // after news was taken; nil: nobody
 
 	cfg    Config
-	self   rumour.Process
-	talk   *rumour.Talk
-	ring   *ring.Machine
-	turn   *turn.Machine
-	mend   *mend.Machine
+	self   gossip.Process
+	talk   *gossip.Talk
+	ring   *failuredetector.Machine
+	turn   *lease.Machine
+	mend   *antientropy.Machine
 	moved  bool // the processes known have changed
 	joined bool
 	keepAt int64
@@ -91,22 +91,22 @@
 }
 
 // New returns a process that knows itself and addresses to ask.
-func New(now int64, cfg Config, self rumour.Process, seeds []string, rng *rand.Rand) *Machine {
+func New(now int64, cfg Config, self gossip.Process, seeds []string, rng *rand.Rand) *Machine {
 	names := make([]string, len(cfg.Duties))
 	for i, d := range cfg.Duties {
 		names[i] = d.Name
 	}
-	m := &Machine{cfg: cfg, self: self, talk: rumour.NewTalk(now, cfg.Talk, self, seeds, rng), mend: mend.New(cfg.Mend),
-		ring: ring.New(now, cfg.Ring, ring.Peer{Addr: self.Addr, Zone: self.Zone}), turn: turn.New(self.Addr, cfg.Settle, names...)}
+	m := &Machine{cfg: cfg, self: self, talk: gossip.NewTalk(now, cfg.Talk, self, seeds, rng), mend: antientropy.New(cfg.Mend),
+		ring: failuredetector.New(now, cfg.Ring, failuredetector.Peer{Addr: self.Addr, Zone: self.Zone}), turn: lease.New(self.Addr, cfg.Settle, names...)}
 	m.talk.Took = m.took
 	return m
 }
 
 // Book is the news that is held.
-func (m *Machine) Book() *rumour.Book { return m.talk.Book }
+func (m *Machine) Book() *gossip.Book { return m.talk.Book }
 
 // Peers are the other processes that live, of a kind or of any.
-func (m *Machine) Peers(kind string) []rumour.Process { return m.talk.Peers(kind) }
+func (m *Machine) Peers(kind string) []gossip.Process { return m.talk.Peers(kind) }
 
 // Awake tells whether a peer answered when it was last called.
 func (m *Machine) Awake(now int64, addr string) bool { return m.talk.Awake(now, addr) }
@@ -115,7 +115,7 @@
 func (m *Machine) Holds(duty string) (epoch uint64, holds bool) { return m.turn.Holds(duty) }
 
 // Holder is who holds a duty as far as is known.
-func (m *Machine) Holder(duty string) (turn.Claim, bool) { return m.turn.Holder(duty) }
+func (m *Machine) Holder(duty string) (lease.Claim, bool) { return m.turn.Holder(duty) }
 
 // Refuses tells whether work under an epoch of a duty comes too late.
 func (m *Machine) Refuses(duty string, epoch uint64) bool { return m.turn.Refuses(duty, epoch) }
@@ -133,13 +133,13 @@
 func (m *Machine) Found() int { return m.talk.Found() }
 
 // Swept is as Found.
-func (m *Machine) Swept() mend.Stats { return m.mend.Stats() }
+func (m *Machine) Swept() antientropy.Stats { return m.mend.Stats() }
 
 func (m *Machine) note(n Noted) { m.out.Noted = append(m.out.Noted, n) }
 
 // took is told of all news that was taken.
-func (m *Machine) took(i rumour.Item) {
-	if addr, is := strings.CutPrefix(i.Key, rumour.Processes); is {
+func (m *Machine) took(i gossip.Item) {
+	if addr, is := strings.CutPrefix(i.Key, gossip.Processes); is {
 		m.moved = true
 		if i.Gone() {
 			m.note(Noted{What: Gone, Process: addr})
@@ -148,7 +148,7 @@
 		var c claim
 		if json.Unmarshal(i.Body, &c) == nil {
 			_, held := m.turn.Holds(duty)
-			if m.turn.Told(turn.Claim{Duty: duty, Epoch: i.Rank, Holder: c.Holder}) && held && c.Holder != m.self.Addr {
+			if m.turn.Told(lease.Claim{Duty: duty, Epoch: i.Rank, Holder: c.Holder}) && held && c.Holder != m.self.Addr {
 				m.note(Noted{What: DutyLost, Process: c.Holder, Duty: duty, Epoch: i.Rank})
 			}
 		}
@@ -159,16 +159,16 @@
 }
 
 // Put takes news of this process's own, for all.
-func (m *Machine) Put(now int64, i rumour.Item) { m.talk.Put(now, i, true) }
+func (m *Machine) Put(now int64, i gossip.Item) { m.talk.Put(now, i, true) }
 
 // Got answers another process.
-func (m *Machine) Got(now int64, p rumour.Pass) rumour.Passed {
+func (m *Machine) Got(now int64, p gossip.Pass) gossip.Passed {
 	m.ring.Heard(now, p.From)
 	return m.talk.Got(now, p)
 }
 
 // Done says how an order ended.
-func (m *Machine) Done(now int64, o rumour.Order, ans rumour.Passed, ok bool) {
+func (m *Machine) Done(now int64, o gossip.Order, ans gossip.Passed, ok bool) {
 	if ok {
 		m.ring.Heard(now, o.To)
 	}
@@ -179,12 +179,12 @@
 // process asked about, if there is such a one.
 func (m *Machine) Hears(now int64, about string) (hears, try bool) {
 	hears, knows := m.ring.Hears(now, about)
-	_, known := m.talk.Book.Get(rumour.Processes + about)
+	_, known := m.talk.Book.Get(gossip.Processes + about)
 	return hears, !knows && known
 }
 
 // Answered takes the answer to a question of the ring, or says that none came.
-func (m *Machine) Answered(now int64, q ring.Question, hears, came bool) {
+func (m *Machine) Answered(now int64, q failuredetector.Question, hears, came bool) {
 	m.ring.Answered(now, q, hears, came)
 }
 
@@ -230,9 +230,9 @@
 	m.talk.Forget(now)
 	if m.moved {
 		m.moved = false
-		var peers []ring.Peer
+		var peers []failuredetector.Peer
 		for _, p := range m.talk.Peers("") {
-			peers = append(peers, ring.Peer{Addr: p.Addr, Zone: p.Zone})
+			peers = append(peers, failuredetector.Peer{Addr: p.Addr, Zone: p.Zone})
 		}
 		m.ring.Members(now, peers)
 	}
@@ -251,7 +251,7 @@
 		if err != nil {
 			panic(err) // a struct of one text always has a form
 		}
-		m.Put(now, rumour.Item{Key: Claims + c.Duty, Rank: c.Epoch, Body: body})
+		m.Put(now, gossip.Item{Key: Claims + c.Duty, Rank: c.Epoch, Body: body})
 	}
 	if _, mine := m.turn.Holds(Sweep.Name); mine {
 		var all []string
--- a/internal/fabric/herd/groups.go
+++ b/internal/cluster/outlier/groups.go
@@ -1,4 +1,4 @@
-package herd
+package outlier
 
 import (
 	"cmp"
--- a/internal/fabric/herd/herd.go
+++ b/internal/cluster/outlier/outlier.go
@@ -1,4 +1,4 @@
-// Package herd tells laggards from the prompt: servers and callers that take many times
+// Package outlier tells laggards from the prompt: servers and callers that take many times
 // as long as their peers. It owns three machines. A Watch is one mixer's own evidence,
 // from the answers and bytes that it sees anyway. A Council merges the evidence of all
 // mixers and says who is set apart. A Groups is what is in force in one mixer. None of
@@ -6,7 +6,7 @@
 // of one may be set apart, and where most of it is slow nobody is.
 //
 // All times are microseconds of the caller's steady clock.
-package herd
+package outlier
 
 import (
 	"cmp"
--- a/internal/fabric/herd/seat.go
+++ b/internal/cluster/outlier/seat.go
@@ -1,4 +1,4 @@
-package herd
+package outlier
 
 // Duty is the name of the duty to hold the council.
 const Duty = "herd"
--- a/internal/fabric/purse/purse.go
+++ b/internal/cluster/quota/quota.go
@@ -1,8 +1,8 @@
-// Package purse owns each proxy's part of what all proxies may spend together without a
+// Package quota owns each proxy's part of what all proxies may spend together without a
 // word on a request's way: the slack of the retry budget. It must never let the parts of
 // all proxies add up to more than the whole over any window, as long as each of them knows
 // at least half of those that live.
-package purse
+package quota
 
 import "math"
 
--- a/internal/fabric/purse/purse_test.go
+++ b/internal/cluster/quota/quota_test.go
@@ -1,4 +1,4 @@
-package purse
+package quota
 
 import (
 	"math/rand/v2"
--- a/internal/fabric/roster/roster.go
+++ b/internal/cluster/registry/registry.go
@@ -1,16 +1,16 @@
-// Package roster owns the servers: which lives are there, where, for which service, and
+// Package registry owns the servers: which lives are there, where, for which service, and
 // whether one serves, leaves or has fallen silent. Every core machine runs one, fed by
 // the beats that it takes itself and by the news of the others. It must never trust a
 // beat of a lower sequence than one it has seen, bring back a life that has left, or take
 // silence here for silence everywhere.
-package roster
+package registry
 
 import (
 	"encoding/json"
 	"fmt"
 	"strings"
 
-	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/cluster/gossip"
 )
 
 // Server is what is told of one life of a server.
@@ -102,16 +102,16 @@
 	return &Roster{self: self, quiet: quiet, mine: make(map[string]*heard)}
 }
 
-func item(s Server, rank uint64) rumour.Item {
+func item(s Server, rank uint64) gossip.Item {
 	body, err := json.Marshal(s)
 	if err != nil {
 		panic(err) // a struct of texts and numbers always has a form
 	}
-	return rumour.Item{Key: Prefix + s.ID, Rank: rank, Body: body}
+	return gossip.Item{Key: Prefix + s.ID, Rank: rank, Body: body}
 }
 
 // Parse reads the news of a server; gone ones have their id alone.
-func Parse(i rumour.Item) (s Server, err error) {
+func Parse(i gossip.Item) (s Server, err error) {
 	if !i.Gone() {
 		err = json.Unmarshal(i.Body, &s)
 	}
@@ -121,7 +121,7 @@
 
 // Heard takes a beat and returns the news that it makes, if any. held is the news that is
 // known of the server so far.
-func (r *Roster) Heard(now int64, id string, b Beat, held rumour.Item, known bool) (news rumour.Item, is bool, err error) {
+func (r *Roster) Heard(now int64, id string, b Beat, held gossip.Item, known bool) (news gossip.Item, is bool, err error) {
 	if err := b.Check(id); err != nil {
 		return news, false, err
 	}
@@ -163,7 +163,7 @@
 
 // Adopt has this machine listen for a server that another one heard, or that it heard in an
 // earlier life itself: it is silent unless it beats here, or is told to beat elsewhere.
-func (r *Roster) Adopt(now int64, i rumour.Item) {
+func (r *Roster) Adopt(now int64, i gossip.Item) {
 	s, err := Parse(i)
 	if err != nil || i.Gone() || s.State == Silent || r.mine[s.ID] != nil || len(r.mine) >= most {
 		return
@@ -176,16 +176,16 @@
 
 // Let is the news that a server that has long been silent is let go. One that beats again
 // comes back.
-func Let(i rumour.Item) rumour.Item { return rumour.Item{Key: i.Key, Rank: i.Rank>>shift<<shift | let} }
+func Let(i gossip.Item) gossip.Item { return gossip.Item{Key: i.Key, Rank: i.Rank>>shift<<shift | let} }
 
 // Left takes a server's last word.
-func (r *Roster) Left(id string) rumour.Item {
+func (r *Roster) Left(id string) gossip.Item {
 	delete(r.mine, id)
-	return rumour.Item{Key: Prefix + id, Rank: left}
+	return gossip.Item{Key: Prefix + id, Rank: left}
 }
 
 // Told takes the news of others: what is heard here too late a beat of is answered.
-func (r *Roster) Told(now int64, i rumour.Item) (news rumour.Item, is bool) {
+func (r *Roster) Told(now int64, i gossip.Item) (news gossip.Item, is bool) {
 	s, err := Parse(i)
 	if err != nil {
 		return news, false
@@ -204,7 +204,7 @@
 }
 
 // Tick returns the news of servers that have fallen silent here.
-func (r *Roster) Tick(now int64) (news []rumour.Item) {
+func (r *Roster) Tick(now int64) (news []gossip.Item) {
 	for id, h := range r.mine {
 		if now-h.at > r.quiet {
 			s := h.server
--- a/internal/fabric/roster/roster_test.go
+++ b/internal/cluster/registry/registry_test.go
@@ -1,4 +1,4 @@
-package roster
+package registry
 
 import (
 	"math/rand/v2"
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/cluster/gossip"
 )
 
 func beat(seq int64, state string) Beat {
@@ -14,7 +14,7 @@
 }
 
 func TestRoster(t *testing.T) {
-	none := rumour.Item{}
+	none := gossip.Item{}
 	Convey("A beat is news once; only what changes is news again", t, func() {
 		r := New("k1", 1000)
 		first, is, err := r.Heard(1, "i", beat(1, "available"), none, false)
@@ -42,7 +42,7 @@
 		So(is, ShouldBeFalse)
 		// Even where the news of silence ranks above what b has said so far.
 		b.Heard(1600, "i", beat(4, "available"), moved, true)
-		late := rumour.Item{Key: Prefix + "i", Rank: 3<<shift | silence, Body: []byte(`{"s":"s","t":2,"b":"a"}`)}
+		late := gossip.Item{Key: Prefix + "i", Rank: 3<<shift | silence, Body: []byte(`{"s":"s","t":2,"b":"a"}`)}
 		again, is := b.Told(1700, late)
 		So(is && again.Rank > late.Rank, ShouldBeTrue)
 	})
@@ -57,7 +57,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		for range 300 {
 			rs := []*Roster{New("a", 500), New("b", 500), New("c", 500)}
-			books := []*rumour.Book{rumour.NewBook(), rumour.NewBook(), rumour.NewBook()}
+			books := []*gossip.Book{gossip.NewBook(), gossip.NewBook(), gossip.NewBook()}
 			seq, now, gone := int64(0), int64(0), false
 			for range 60 {
 				now += rng.Int64N(200)
--- a/internal/fabric/helm/helm.go
+++ b/internal/cluster/replica/replica.go
@@ -1,24 +1,24 @@
-// Package helm is a core machine's control state as one machine that is stepped: the
+// Package replica is a core machine's control state as one machine that is stepped: the
 // agreement on the view (pact) and the chain under it, with what both must have on the
 // disk. It owns the order of things: what a step returns to be sent or told may go out only
 // once what it returns to be written is synced, and so is all that was before it. It does
 // no I/O and reads no clock; a broken invariant panics with what was seen.
-package helm
+package replica
 
 import (
 	"encoding/json"
 	"fmt"
 
-	"saddleport/internal/fabric/chain"
-	"saddleport/internal/fabric/mend"
-	"saddleport/internal/fabric/pact"
+	"saddleport/internal/cluster/antientropy"
+	"saddleport/internal/cluster/chain"
+	"saddleport/internal/cluster/consensus"
 )
 
 // Config tunes both machines.
 type Config struct {
 	Chain chain.Config
-	Pact  pact.Config
-	Mend  mend.Config // Sweep 0: nothing is mended beyond what the chain itself does
+	Pact  consensus.Config
+	Mend  antientropy.Config // Sweep 0: nothing is mended beyond what the chain itself does
 }
 
 const ms = int64(1000)
@@ -27,16 +27,16 @@
 // mended well within an operator's patience of 6 s.
 func Usual(faults int) Config {
 	return Config{
-		Mend:  mend.Config{Again: 2000 * ms, Sweep: 1000 * ms, Most: 64},
+		Mend:  antientropy.Config{Again: 2000 * ms, Sweep: 1000 * ms, Most: 64},
 		Chain: chain.Config{Resend: 500 * ms, Stuck: 1200 * ms, Wait: 5000 * ms},
-		Pact: pact.Config{Beat: 500 * ms, Live: 1800 * ms, Gone: 4000 * ms, Lost: 20_000 * ms, Unfit: 4000 * ms, Settle: 1000 * ms,
+		Pact: consensus.Config{Beat: 500 * ms, Live: 1800 * ms, Gone: 4000 * ms, Lost: 20_000 * ms, Unfit: 4000 * ms, Settle: 1000 * ms,
 			Turn: 1000 * ms, Ballot: 800 * ms, Least: 2*faults + 1, Most: 15, Flapped: 800 * ms},
 	}
 }
 
 // Record is what must be on the disk. Entry is nil where it has not changed.
 type Record struct {
-	State pact.State
+	State consensus.State
 	Entry *chain.Entry
 }
 
@@ -49,11 +49,11 @@
 
 // Machine is one core machine.
 type Machine struct {
-	Pact  *pact.Machine
+	Pact  *consensus.Machine
 	Chain *chain.Machine
 	cfg   Config
 	asked int64
-	mend  *mend.Machine
+	mend  *antientropy.Machine
 }
 
 // New returns a machine whose disk holds a record; nonce sets its calls apart from those
@@ -63,8 +63,8 @@
 	if r.Entry != nil {
 		held = *r.Entry
 	}
-	h := &Machine{cfg: cfg, mend: mend.New(cfg.Mend), Chain: chain.New(cfg.Chain, r.State.Self, held, nonce, breaks)}
-	h.Pact = pact.New(now, cfg.Pact, r.State, seeds, h.Chain, breaks)
+	h := &Machine{cfg: cfg, mend: antientropy.New(cfg.Mend), Chain: chain.New(cfg.Chain, r.State.Self, held, nonce, breaks)}
+	h.Pact = consensus.New(now, cfg.Pact, r.State, seeds, h.Chain, breaks)
 	return h
 }
 
@@ -138,7 +138,7 @@
 }
 
 // Mended counts the repairs.
-func (h *Machine) Mended() mend.Stats { return h.mend.Stats() }
+func (h *Machine) Mended() antientropy.Stats { return h.mend.Stats() }
 
 // Put asks for a configuration to be acknowledged, Get for the newest that was. The Result
 // under the id returned comes in this or a later Output.
@@ -182,7 +182,7 @@
 }
 
 // Encode writes a state as it stands on the disk; Decode reads it back.
-func Encode(s pact.State) []byte {
+func Encode(s consensus.State) []byte {
 	b, err := json.Marshal(s)
 	if err != nil {
 		panic(fmt.Sprintf("invariant: a state without a form: %v", err))
@@ -191,7 +191,7 @@
 }
 
 // Decode is as Encode.
-func Decode(b []byte) (s pact.State, err error) {
+func Decode(b []byte) (s consensus.State, err error) {
 	err = json.Unmarshal(b, &s)
 	return s, err
 }
--- a/internal/fabric/charter/charter.go
+++ b/internal/cluster/routeconfig/routeconfig.go
@@ -1,8 +1,8 @@
-// Package charter owns a configuration of the operators': it is checked whole, routes
+// Package routeconfig owns a configuration of the operators': it is checked whole, routes
 // are found in it, and of two the one with the higher version counts. It must never edit
 // an operator's bytes, take anything that can't be read whole, or go back to an older
 // version.
-package charter
+package routeconfig
 
 import (
 	"cmp"
--- a/internal/fabric/charter/charter_test.go
+++ b/internal/cluster/routeconfig/routeconfig_test.go
@@ -1,4 +1,4 @@
-package charter
+package routeconfig
 
 import (
 	"encoding/json"
--- a/internal/core/imports_test.go
+++ b/internal/core/imports_test.go
@@ -41,7 +41,7 @@
 
 // Decisions do no I/O, read no clock, start nothing and log nothing.
 func TestPure(t *testing.T) {
-	for _, root := range []string{".", "../../choice", "../fabric", "../paths"} {
+	for _, root := range []string{".", "../../choice", "../cluster", "../paths"} {
 		walk(t, root, func(path string, f *ast.File) {
 			for _, i := range imports(f) {
 				for _, bad := range []string{"net", "os", "log", "io/fs", "sync", "syscall", "runtime", "context"} {
@@ -79,11 +79,11 @@
 		{"../back", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/hook", "saddleport/internal/lab"}},
 		{"../hook", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/lab"}},
 		{"../source", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/exchange", "saddleport/internal/lab"}},
-		{"../app", []string{"saddleport/internal/lab", "saddleport/internal/weave", "saddleport/internal/fabric"}},
+		{"../app", []string{"saddleport/internal/lab", "saddleport/internal/node", "saddleport/internal/cluster"}},
 		{"../paths", []string{"saddleport/"}},
-		{"../fabric", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/exchange",
-			"saddleport/internal/weave", "saddleport/internal/lab", "saddleport/choice"}},
-		{"../weave", []string{"saddleport/internal/app", "saddleport/internal/lab", "saddleport/internal/hook", "saddleport/internal/source"}},
+		{"../cluster", []string{"saddleport/internal/app", "saddleport/internal/front", "saddleport/internal/back", "saddleport/internal/exchange",
+			"saddleport/internal/node", "saddleport/internal/lab", "saddleport/choice"}},
+		{"../node", []string{"saddleport/internal/app", "saddleport/internal/lab", "saddleport/internal/hook", "saddleport/internal/source"}},
 		{"../operator", []string{"saddleport/internal/app", "saddleport/internal/hook", "saddleport/internal/source"}},
 		{"../../sdk", []string{"saddleport/internal"}},
 	}
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -15,8 +15,8 @@
 
 	"saddleport/choice"
 	"saddleport/internal/back/reach"
+	"saddleport/internal/cluster/routeconfig"
 	"saddleport/internal/exchange"
-	"saddleport/internal/fabric/charter"
 	"saddleport/internal/front"
 	"saddleport/internal/front/gate"
 	"saddleport/internal/lab/standin"
@@ -62,7 +62,7 @@
 }
 
 func (p *proxy) charter(text string) {
-	c, err := charter.Read([]byte(text))
+	c, err := routeconfig.Read([]byte(text))
 	require.NoError(p.t, err)
 	plan, err := gate.NewPlan(c, &p.numbers)
 	require.NoError(p.t, err)
--- a/internal/front/gate/plan.go
+++ b/internal/front/gate/plan.go
@@ -9,16 +9,16 @@
 	"strings"
 
 	"saddleport/choice"
-	"saddleport/internal/fabric/charter"
+	"saddleport/internal/cluster/routeconfig"
 	"saddleport/internal/front"
 )
 
 // Plan is a configuration made ready for requests. It does not change.
 type Plan struct {
-	Charter *charter.Charter
+	Charter *routeconfig.Charter
 	Classes []choice.Class
 
-	lanes map[*charter.Route]*lane
+	lanes map[*routeconfig.Route]*lane
 }
 
 // lane is a route made ready: its shards by number, or the services that it is divided
@@ -76,8 +76,8 @@
 )
 
 // NewPlan makes a plan of a configuration.
-func NewPlan(c *charter.Charter, numbers *Shards) (*Plan, error) {
-	p := &Plan{Charter: c, lanes: make(map[*charter.Route]*lane, len(c.Routes))}
+func NewPlan(c *routeconfig.Charter, numbers *Shards) (*Plan, error) {
+	p := &Plan{Charter: c, lanes: make(map[*routeconfig.Route]*lane, len(c.Routes))}
 	classes := make(map[string]choice.Class)
 	for _, r := range c.Routes {
 		l := &lane{}
@@ -122,7 +122,7 @@
 // class finds the class of what a route sends to services. Routes that ask the same of
 // the same services share one, and with it what is learned: of hundreds of routes none
 // would see enough by itself. A changed timeout keeps it.
-func class(classes map[string]choice.Class, r *charter.Route, services []string) string {
+func class(classes map[string]choice.Class, r *routeconfig.Route, services []string) string {
 	aim := cmp.Or(r.Aim.Microseconds(), choice.Micros(float64(r.Timeout.Microseconds())*aimOfTime))
 	sorted := slices.Clone(services)
 	slices.Sort(sorted)
@@ -145,6 +145,6 @@
 
 // Pace is what a configuration's limits mean to the front: a client has the time of a head
 // for its head, and as long as it may rest for its body.
-func Pace(l charter.Limits) front.Pace {
+func Pace(l routeconfig.Limits) front.Pace {
 	return front.Pace{First: l.IdleTime, Request: l.HeadTime, Idle: l.IdleTime, Body: l.IdleTime, MaxHead: l.MaxHead, MaxBody: l.MaxBody}
 }
--- a/internal/lab/gauge/allow.go
+++ b/internal/lab/measure/allow.go
@@ -1,4 +1,4 @@
-package gauge
+package measure
 
 import (
 	"encoding/json"
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"saddleport/internal/fabric/purse"
-	"saddleport/internal/weave/calls"
+	"saddleport/internal/cluster/quota"
+	"saddleport/internal/node/rpc"
 )
 
 // AllowPlan is a cluster whose callers all ask for more than they may.
@@ -41,15 +41,15 @@
 // bank; between them lie 10 to 60 ms.
 func MeasureAllow(p AllowPlan) Allow {
 	rng := rand.New(rand.NewPCG(p.Seed, uint64(p.Mixers)))
-	var stated []purse.Stated
+	var stated []quota.Stated
 	for i := range p.Callers {
-		stated = append(stated, purse.Stated{Name: fmt.Sprintf("caller-%03d", i), Rate: p.Rate, Burst: p.Burst})
+		stated = append(stated, quota.Stated{Name: fmt.Sprintf("caller-%03d", i), Rate: p.Rate, Burst: p.Burst})
 	}
-	bank := purse.NewBank(0, purse.UsualTerms, p.Mixers)
+	bank := quota.NewBank(0, quota.UsualTerms, p.Mixers)
 	bank.State(stated)
-	tills := make([]*purse.Till, p.Mixers)
+	tills := make([]*quota.Till, p.Mixers)
 	for i := range tills {
-		tills[i] = purse.NewTill(purse.UsualTerms)
+		tills[i] = quota.NewTill(quota.UsualTerms)
 		tills[i].State(0, stated)
 		tills[i].Mixers(p.Mixers)
 	}
@@ -127,5 +127,5 @@
 	if err != nil {
 		panic(err) // texts and numbers always have a form
 	}
-	return calls.Packed(b)
+	return rpc.Packed(b)
 }
--- a/internal/lab/gauge/command.go
+++ b/internal/lab/measure/command.go
@@ -1,4 +1,4 @@
-package gauge
+package measure
 
 import (
 	"encoding/json"
--- a/internal/lab/gauge/core.go
+++ b/internal/lab/measure/core.go
@@ -1,12 +1,12 @@
-package gauge
+package measure
 
 import (
 	"fmt"
 	"time"
 
-	"saddleport/internal/fabric/chain"
-	"saddleport/internal/fabric/helm"
-	"saddleport/internal/fabric/pact"
+	"saddleport/internal/cluster/chain"
+	"saddleport/internal/cluster/consensus"
+	"saddleport/internal/cluster/replica"
 )
 
 // Loss is what befalls the core.
@@ -60,9 +60,9 @@
 	stalled      bool
 	cutIn        bool // hears nobody
 	cutOut       bool // nobody hears it
-	m            *helm.Machine
-	disk         helm.Record
-	queue        []helm.Output
+	m            *replica.Machine
+	disk         replica.Record
+	queue        []replica.Output
 	writing      bool
 }
 
@@ -103,7 +103,7 @@
 		w.seeds = append(w.seeds, x.addr)
 	}
 	for _, x := range w.ms {
-		x.disk = helm.Record{State: pact.State{Self: chain.Member{Addr: x.addr, Disk: pact.FirstDisk}, View: pact.Genesis(w.seeds)}}
+		x.disk = replica.Record{State: consensus.State{Self: chain.Member{Addr: x.addr, Disk: consensus.FirstDisk}, View: consensus.Genesis(w.seeds)}}
 		w.after(w.rng.Int64N(200*ms), func() { w.start(x) })
 	}
 	w.after(500*ms, w.ask)
@@ -154,7 +154,7 @@
 
 func (w *coreWorld) start(x *machine) {
 	x.up, x.life = true, x.life+1
-	x.m = helm.New(w.now, helm.Usual(w.plan.Faults), x.disk, w.seeds, fmt.Sprint(x.addr, ".", x.life), chain.Breaks{})
+	x.m = replica.New(w.now, replica.Usual(w.plan.Faults), x.disk, w.seeds, fmt.Sprint(x.addr, ".", x.life), chain.Breaks{})
 	w.tick(x, x.life)
 }
 
@@ -190,7 +190,7 @@
 }
 
 // flow queues what a step wants written; what it wants sent waits for that.
-func (w *coreWorld) flow(x *machine, out helm.Output) {
+func (w *coreWorld) flow(x *machine, out replica.Output) {
 	if out.Write == nil && len(out.Send) == 0 && len(out.Results) == 0 {
 		return
 	}
--- a/internal/lab/gauge/laggards.go
+++ b/internal/lab/measure/laggards.go
@@ -1,4 +1,4 @@
-package gauge
+package measure
 
 import (
 	"encoding/json"
@@ -6,9 +6,9 @@
 	"math"
 	"time"
 
-	"saddleport/internal/fabric/herd"
-	"saddleport/internal/fabric/kin"
-	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/member"
+	"saddleport/internal/cluster/outlier"
 )
 
 // LaggardPlan says what is measured of laggards.
@@ -46,9 +46,9 @@
 // flock is one mixer before the servers.
 type flock struct {
 	p      *proc
-	watch  *herd.Watch
-	groups *herd.Groups
-	seat   *herd.Seat
+	watch  *outlier.Watch
+	groups *outlier.Groups
+	seat   *outlier.Seat
 	looks  bool
 	steps  bool
 	pace   map[string]float64 // what the mixer itself thinks of a server, as choice/ does
@@ -81,16 +81,16 @@
 	for cores(plan.Mixers+core) != core {
 		core++
 	}
-	base := newNewsWorld(NewsPlan{Processes: plan.Mixers + core, Zones: plan.Zones, Seed: plan.Seed, Delays: plan.Delays}, kin.Duty{Name: herd.Duty, Kind: "echo"})
+	base := newNewsWorld(NewsPlan{Processes: plan.Mixers + core, Zones: plan.Zones, Seed: plan.Seed, Delays: plan.Delays}, member.Duty{Name: outlier.Duty, Kind: "echo"})
 	w := &laggardWorld{newsWorld: base, plan: plan, by: make(map[*proc]*flock), slow: make(map[string]float64)}
 	for _, p := range base.procs[core:] {
-		f := &flock{p: p, watch: herd.NewWatch(herd.Usual), groups: herd.NewGroups(herd.Usual), seat: herd.NewSeat(herd.Usual, p.addr),
+		f := &flock{p: p, watch: outlier.NewWatch(outlier.Usual), groups: outlier.NewGroups(outlier.Usual), seat: outlier.NewSeat(outlier.Usual, p.addr),
 			pace: make(map[string]float64), tried: make(map[string]int64)}
 		w.flocks, w.by[p] = append(w.flocks, f), f
 	}
-	base.watch = func(p *proc, i rumour.Item) {
+	base.watch = func(p *proc, i gossip.Item) {
 		f := w.by[p]
-		var a herd.Assignment
+		var a outlier.Assignment
 		if f == nil || i.Key != groupsKey || json.Unmarshal(i.Body, &a) != nil {
 			return
 		}
@@ -170,7 +170,7 @@
 		x := int64(w.took()*max(w.slow[name], 1)) + way
 		w.after(min(x, aimTime), func() {
 			f.pace[name] += (float64(min(x, aimTime))/float64(20_000+way) - f.pace[name]) * paceStep
-			doubted := f.watch.Saw(w.now, herd.Sample{Name: name, Shard: fmt.Sprint("s", s), Kind: fmt.Sprint("sweep ", far), Took: min(x, aimTime), Whole: x < aimTime})
+			doubted := f.watch.Saw(w.now, outlier.Sample{Name: name, Shard: fmt.Sprint("s", s), Kind: fmt.Sprint("sweep ", far), Took: min(x, aimTime), Whole: x < aimTime})
 			if doubted && !f.looks {
 				w.look(f)
 			}
@@ -198,7 +198,7 @@
 	if len(list) == 0 || w.alone {
 		return
 	}
-	c, known := f.p.kin.Holder(herd.Duty)
+	c, known := f.p.kin.Holder(outlier.Duty)
 	if !known || c.Holder == f.p.addr {
 		w.given(f, f.p.addr, list)
 		return
@@ -213,8 +213,8 @@
 	}, func(any, bool) {})
 }
 
-func (w *laggardWorld) given(f *flock, from string, list []herd.Evidence) {
-	epoch, holds := f.p.kin.Holds(herd.Duty)
+func (w *laggardWorld) given(f *flock, from string, list []outlier.Evidence) {
+	epoch, holds := f.p.kin.Holds(outlier.Duty)
 	f.seat.Holds(w.now, epoch, holds)
 	if f.seat.Given(w.now, from, list) {
 		w.sit(f)
@@ -226,7 +226,7 @@
 	if f.steps || !f.p.up {
 		return
 	}
-	epoch, holds := f.p.kin.Holds(herd.Duty)
+	epoch, holds := f.p.kin.Holds(outlier.Duty)
 	f.seat.Holds(w.now, epoch, holds)
 	a, rank, say := f.seat.Step(w.now, len(w.flocks), w.members)
 	if say {
@@ -235,7 +235,7 @@
 			panic(err)
 		}
 		w.sent += len(body) * len(w.procs)
-		f.p.kin.Put(w.now, rumour.Item{Key: groupsKey, Rank: rank, Body: body})
+		f.p.kin.Put(w.now, gossip.Item{Key: groupsKey, Rank: rank, Body: body})
 		f.p.soon()
 	}
 	if f.seat.Busy() {
@@ -247,7 +247,7 @@
 // holder is the mixer that holds the council.
 func (w *laggardWorld) holder() *flock {
 	for _, f := range w.flocks {
-		if _, holds := f.p.kin.Holds(herd.Duty); holds && f.p.up {
+		if _, holds := f.p.kin.Holds(outlier.Duty); holds && f.p.up {
 			return f
 		}
 	}
@@ -314,7 +314,7 @@
 		known := make(map[*flock]bool)
 		l.until(at+60_000*ms, func() bool {
 			for _, f := range l.flocks {
-				if o, seen := f.watch.Of(l.now, name); !known[f] && seen && o.Score >= herd.Usual.Agree {
+				if o, seen := f.watch.Of(l.now, name); !known[f] && seen && o.Score >= outlier.Usual.Agree {
 					known[f] = true
 					lone.Spans = append(lone.Spans, time.Duration((l.now-at)*micro))
 				}
@@ -356,7 +356,7 @@
 		h.p.life++
 		w.once(&row, everyone)
 		h.p.start()
-		h.groups, h.seat, h.looks, h.steps = herd.NewGroups(herd.Usual), herd.NewSeat(herd.Usual, h.p.addr), false, false
+		h.groups, h.seat, h.looks, h.steps = outlier.NewGroups(outlier.Usual), outlier.NewSeat(outlier.Usual, h.p.addr), false, false
 		w.until(w.now+15_000*ms, nil)
 	}
 	rows = append(rows, row)
--- a/internal/lab/gauge/news.go
+++ b/internal/lab/measure/news.go
@@ -1,14 +1,14 @@
-package gauge
+package measure
 
 import (
 	"encoding/json"
 	"fmt"
 	"time"
 
-	"saddleport/internal/fabric/kin"
-	"saddleport/internal/fabric/ring"
-	"saddleport/internal/fabric/roster"
-	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/cluster/failuredetector"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/member"
+	"saddleport/internal/cluster/registry"
 )
 
 // NewsPlan says what is measured of news.
@@ -47,7 +47,7 @@
 	i            int
 	addr         string
 	zone, region int
-	kin          *kin.Machine
+	kin          *member.Machine
 	up           bool
 	life         int
 	timer        int // the number of the timer that counts
@@ -65,8 +65,8 @@
 	seeds  []string
 	killed map[string]bool
 	false_ int
-	watch  func(p *proc, i rumour.Item)
-	duties []kin.Duty
+	watch  func(p *proc, i gossip.Item)
+	duties []member.Duty
 	cut    func(p, q *proc) bool // nil: no way is
 }
 
@@ -84,9 +84,9 @@
 		kind = "keel"
 	}
 	p.up, p.life = true, p.life+1
-	self := rumour.Process{Addr: p.addr, Name: fmt.Sprint("m", p.i), Kind: kind, Zone: fmt.Sprint("z", p.zone), Region: fmt.Sprint("g", p.region)}
-	p.kin = kin.New(p.w.now, kin.Usual(p.w.duties...), self, p.w.seeds, p.w.rng)
-	p.kin.Took = func(i rumour.Item) {
+	self := gossip.Process{Addr: p.addr, Name: fmt.Sprint("m", p.i), Kind: kind, Zone: fmt.Sprint("z", p.zone), Region: fmt.Sprint("g", p.region)}
+	p.kin = member.New(p.w.now, member.Usual(p.w.duties...), self, p.w.seeds, p.w.rng)
+	p.kin.Took = func(i gossip.Item) {
 		if p.w.watch != nil {
 			p.w.watch(p, i)
 		}
@@ -116,7 +116,7 @@
 	w := p.w
 	out := p.kin.Take()
 	for _, n := range out.Noted {
-		if n.What == kin.Dead && !w.killed[n.Process] {
+		if n.What == member.Dead && !w.killed[n.Process] {
 			w.false_++
 		}
 	}
@@ -130,7 +130,7 @@
 			if p.life != life {
 				return
 			}
-			a, _ := ans.(rumour.Passed)
+			a, _ := ans.(gossip.Passed)
 			p.kin.Done(w.now, o, a, ok)
 			p.flush()
 			p.soon()
@@ -142,7 +142,7 @@
 }
 
 // ask carries a question of the ring, and the try that it may lead to.
-func (w *newsWorld) ask(p *proc, q ring.Question, life int) {
+func (w *newsWorld) ask(p *proc, q failuredetector.Question, life int) {
 	answer := func(hears, came bool) {
 		if p.life == life {
 			p.kin.Answered(w.now, q, hears, came)
@@ -209,7 +209,7 @@
 func MeasureNews(plan NewsPlan) News {
 	w := newNewsWorld(plan)
 	for i := range plan.Servers {
-		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%cores(plan.Processes)].told(i, 1, roster.Available) })
+		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%cores(plan.Processes)].told(i, 1, registry.Available) })
 	}
 	out := News{Plan: plan}
 	w.until(20_000*ms, nil)
@@ -235,7 +235,7 @@
 }
 
 // newNewsWorld has a fleet about to start.
-func newNewsWorld(plan NewsPlan, duties ...kin.Duty) *newsWorld {
+func newNewsWorld(plan NewsPlan, duties ...member.Duty) *newsWorld {
 	w := &newsWorld{sim: newSim(plan.Seed), plan: plan, byAddr: make(map[string]*proc), killed: make(map[string]bool), duties: duties}
 	for i := range plan.Processes {
 		p := &proc{w: w, i: i, addr: fmt.Sprintf("10.%d.%d.%d:7080", i%plan.Zones+1, i/200, i%200+1)}
@@ -252,14 +252,14 @@
 	return w
 }
 
-func (p *proc) told(server int, seq uint64, state roster.State) {
-	s := roster.Server{ID: fmt.Sprint("i-", server), Service: fmt.Sprint("s", server%20), Addr: fmt.Sprintf("10.9.%d.%d:80", server/200, server%200),
+func (p *proc) told(server int, seq uint64, state registry.State) {
+	s := registry.Server{ID: fmt.Sprint("i-", server), Service: fmt.Sprint("s", server%20), Addr: fmt.Sprintf("10.9.%d.%d:80", server/200, server%200),
 		Zone: fmt.Sprint("z", server%p.w.plan.Zones), Revision: "v1", Capacity: 3, State: state, By: p.addr}
 	body, err := json.Marshal(s)
 	if err != nil {
 		panic(err)
 	}
-	p.kin.Put(p.w.now, rumour.Item{Key: roster.Prefix + s.ID, Rank: seq << 2, Body: body})
+	p.kin.Put(p.w.now, gossip.Item{Key: registry.Prefix + s.ID, Rank: seq << 2, Body: body})
 	p.soon()
 }
 
@@ -283,7 +283,7 @@
 		return n
 	}
 	n, halfAt := count(), int64(0)
-	w.watch = func(p *proc, _ rumour.Item) {
+	w.watch = func(p *proc, _ gossip.Item) {
 		if !know[p] && p.up && holds(p) {
 			know[p] = true
 			if n++; halfAt == 0 && 2*n >= live {
@@ -303,8 +303,8 @@
 	w.until(w.now+w.rng.Int64N(2000*ms), nil)
 	server := run % max(w.plan.Servers, 1)
 	seq := uint64(run + 2)
-	w.procs[w.rng.IntN(cores(w.plan.Processes))].told(server, seq, roster.Draining)
-	key := roster.Prefix + fmt.Sprint("i-", server)
+	w.procs[w.rng.IntN(cores(w.plan.Processes))].told(server, seq, registry.Draining)
+	key := registry.Prefix + fmt.Sprint("i-", server)
 	w.spread(func(p *proc) bool { i, _ := p.kin.Book().Get(key); return i.Rank >= seq<<2 }, &out.Half, &out.Reached)
 }
 
@@ -313,7 +313,7 @@
 	x := w.procs[w.rng.IntN(len(w.procs))]
 	x.up, w.killed[x.addr] = false, true
 	x.life++
-	key := rumour.Processes + x.addr
+	key := gossip.Processes + x.addr
 	w.spread(func(p *proc) bool { i, known := p.kin.Book().Get(key); return known && i.Gone() }, nil, &out.Noticed)
 	want := 0
 	for _, p := range w.procs {
--- a/internal/lab/seek/seek_test.go
+++ b/internal/lab/modelcheck/modelcheck_test.go
@@ -1,4 +1,4 @@
-package seek
+package modelcheck
 
 import (
 	"testing"
--- a/internal/lab/seek/race_test.go
+++ b/internal/lab/modelcheck/race_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package seek
+package modelcheck
 
 func init() { raced = true }
--- a/internal/lab/seek/search.go
+++ b/internal/lab/modelcheck/search.go
@@ -1,4 +1,4 @@
-package seek
+package modelcheck
 
 import (
 	"errors"
@@ -12,7 +12,7 @@
 
 	"github.com/spf13/cobra"
 
-	"saddleport/internal/fabric/chain"
+	"saddleport/internal/cluster/chain"
 )
 
 // Found is a schedule that breaks a rule.
--- a/internal/lab/seek/seek.go
+++ b/internal/lab/modelcheck/world.go
@@ -1,20 +1,20 @@
-// Package seek searches the core's control state (internal/fabric/helm) for schedules that
+// Package modelcheck searches the core's control state (internal/cluster/replica) for schedules that
 // break its rules: machines that crash, lose their disks or stall, messages that are lost,
 // doubled and delayed, cuts one way and both ways, operators that write and read all the
 // while. A schedule is a list of steps drawn from a seed; one that breaks a rule can be
 // played again step by step and is shrunk to what matters. It judges by what callers were
 // told and by what the disks hold, never by the machines' own word.
-package seek
+package modelcheck
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"strings"
 
-	"saddleport/internal/fabric/chain"
-	"saddleport/internal/fabric/helm"
-	"saddleport/internal/fabric/mend"
-	"saddleport/internal/fabric/pact"
+	"saddleport/internal/cluster/antientropy"
+	"saddleport/internal/cluster/chain"
+	"saddleport/internal/cluster/consensus"
+	"saddleport/internal/cluster/replica"
 )
 
 // Plan says what is searched.
@@ -102,9 +102,9 @@
 	disks   int
 	epoch   uint64 // of the view that was looked at last, in this life
 	life    int
-	m       *helm.Machine
-	disk    *helm.Record
-	pending []helm.Output
+	m       *replica.Machine
+	disk    *replica.Record
+	pending []replica.Output
 }
 
 type mail struct{ msg chain.Message }
@@ -168,22 +168,22 @@
 	}
 	n.up, n.lives = true, n.lives+1
 	if n.disk == nil {
-		r := helm.Record{State: pact.State{Self: chain.Member{Addr: n.addr, Disk: fmt.Sprint(n.disks)}}}
+		r := replica.Record{State: consensus.State{Self: chain.Member{Addr: n.addr, Disk: fmt.Sprint(n.disks)}}}
 		if n.disks == 0 && i < w.plan.Machines {
-			r.State.View = pact.Genesis(w.seeds())
+			r.State.View = consensus.Genesis(w.seeds())
 		}
 		if w.plan.Breaks.KeepDisk && n.disks > 0 { // it takes itself for what it was
-			r.State.Self.Disk = pact.FirstDisk
-			r.State.View = pact.Genesis(w.seeds())
+			r.State.Self.Disk = consensus.FirstDisk
+			r.State.View = consensus.Genesis(w.seeds())
 		}
 		n.disk = &r
 	}
 	r := *n.disk
-	cfg := helm.Usual(w.plan.Faults)
+	cfg := replica.Usual(w.plan.Faults)
 	if w.plan.Bare {
-		cfg.Mend = mend.Config{}
+		cfg.Mend = antientropy.Config{}
 	}
-	n.m = helm.New(w.now, cfg, r, w.seeds(), fmt.Sprintf("%s-%d", n.addr, n.lives), w.plan.Breaks)
+	n.m = replica.New(w.now, cfg, r, w.seeds(), fmt.Sprintf("%s-%d", n.addr, n.lives), w.plan.Breaks)
 	w.note("start %s as %s, epoch %d, rank %d", n.addr, r.State.Self, r.State.View.Epoch, n.m.Chain.Held().Rank)
 }
 
@@ -210,7 +210,7 @@
 }
 
 // took queues what a machine wants written and sent.
-func (w *World) took(i int, out helm.Output) {
+func (w *World) took(i int, out replica.Output) {
 	n := w.nodes[i]
 	if out.Write == nil && len(out.Send) == 0 && len(out.Results) == 0 {
 		return
@@ -247,7 +247,7 @@
 	}
 }
 
-func (w *World) write(n *node, out helm.Output) {
+func (w *World) write(n *node, out replica.Output) {
 	if out.Write == nil {
 		return
 	}
--- a/internal/weave/command/command.go
+++ b/internal/node/cli/cli.go
@@ -1,7 +1,7 @@
-// Package command is what the system's programs have in common: their command lines,
+// Package cli is what the system's programs have in common: their command lines,
 // their logs, their signals and their limits. It must never hold anything of what one
 // program does.
-package command
+package cli
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 
 	"github.com/spf13/cobra"
 
-	"saddleport/internal/weave/events"
-	"saddleport/internal/weave/role"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/role"
 )
 
 // Program is one of the system's programs.
--- a/internal/weave/command/more.go
+++ b/internal/node/cli/more.go
@@ -1,4 +1,4 @@
-package command
+package cli
 
 import (
 	"context"
@@ -13,10 +13,10 @@
 
 	"github.com/spf13/cobra"
 
-	"saddleport/internal/fabric/charter"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
-	"saddleport/internal/weave/role"
+	"saddleport/internal/cluster/routeconfig"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/role"
+	"saddleport/internal/node/rpc"
 )
 
 const showTime = 3 * time.Second
@@ -47,7 +47,7 @@
 			if err != nil {
 				return err
 			}
-			ch, err := charter.Read(raw)
+			ch, err := routeconfig.Read(raw)
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
@@ -63,7 +63,7 @@
 }
 
 // ask asks a running process, where its settings or a flag say, and prints the answer.
-func ask(c *cobra.Command, program, file, addr string, asJSON bool, what func(ctx context.Context, via *calls.Client, addr string) (role.Shown, error)) error {
+func ask(c *cobra.Command, program, file, addr string, asJSON bool, what func(ctx context.Context, via *rpc.Client, addr string) (role.Shown, error)) error {
 	if addr == "" && file == "" {
 		return errors.New("where does it answer? Name --settings FILE or --addr HOST:PORT, or set " + role.Variable)
 	}
@@ -76,7 +76,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), showTime)
 	defer cancel()
-	s, err := what(ctx, calls.NewClient(time.Second), addr)
+	s, err := what(ctx, rpc.NewClient(time.Second), addr)
 	if err != nil {
 		return err
 	}
@@ -95,7 +95,7 @@
 	cmd := &cobra.Command{Use: "show [TABLE]", Short: "Show what the running " + program + " holds: routes, servers, groups, view, versions", Args: cobra.MaximumNArgs(1),
 		Long: "Show what the running " + program + " holds. TABLE leaves the tables whose titles begin so, as in: show groups",
 		RunE: func(c *cobra.Command, args []string) error {
-			return ask(c, program, *file, addr, asJSON, func(ctx context.Context, via *calls.Client, addr string) (role.Shown, error) {
+			return ask(c, program, *file, addr, asJSON, func(ctx context.Context, via *rpc.Client, addr string) (role.Shown, error) {
 				s, err := role.ShowCall.Ask(ctx, via, addr, "", nil)
 				if err != nil || len(args) == 0 {
 					return s, err
@@ -125,7 +125,7 @@
 	var asJSON bool
 	cmd := &cobra.Command{Use: "explain NAME", Short: "Tell what the running " + program + " knows of one server (its id) or caller (its address): prompt, doubtful or laggard, and why", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			return ask(c, program, *file, addr, asJSON, func(ctx context.Context, via *calls.Client, addr string) (role.Shown, error) {
+			return ask(c, program, *file, addr, asJSON, func(ctx context.Context, via *rpc.Client, addr string) (role.Shown, error) {
 				return role.ExplainCall.Ask(ctx, via, addr, url.PathEscape(args[0]), nil)
 			})
 		}}
@@ -173,6 +173,6 @@
 	root.AddCommand(check, looks, version("lens"), &cobra.Command{Use: "events", Short: "Print the catalogue of events", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprint(c.OutOrStdout(), events.Page()) }},
 		&cobra.Command{Use: "calls", Short: "Print the table of calls", Args: cobra.NoArgs,
-			Run: func(c *cobra.Command, _ []string) { fmt.Fprint(c.OutOrStdout(), calls.Page()) }})
+			Run: func(c *cobra.Command, _ []string) { fmt.Fprint(c.OutOrStdout(), rpc.Page()) }})
 	return root
 }
--- a/internal/weave/command/pages_test.go
+++ b/internal/node/cli/pages_test.go
@@ -1,4 +1,4 @@
-package command
+package cli
 
 import (
 	"bytes"
@@ -8,14 +8,14 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
 )
 
 // The operators' pages are printed by the code, and held to it.
 func TestPages(t *testing.T) {
 	Convey("The pages of events and calls are what the code prints", t, func() {
-		for name, page := range map[string]string{"events.md": events.Page(), "calls.md": calls.Page()} {
+		for name, page := range map[string]string{"events.md": events.Page(), "calls.md": rpc.Page()} {
 			text, err := os.ReadFile(filepath.Join("../../../docs/operate", name))
 			So(err, ShouldBeNil)
 			So(string(text), ShouldEqual, page)
--- a/internal/weave/role/allow.go
+++ b/internal/node/role/allow.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
-	"saddleport/internal/fabric/charter"
-	"saddleport/internal/fabric/herd"
-	"saddleport/internal/fabric/purse"
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/outlier"
+	"saddleport/internal/cluster/quota"
+	"saddleport/internal/cluster/routeconfig"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
 )
 
 // Allowances: a proxy admits by its own part and claims a new one about every second while
@@ -23,17 +23,17 @@
 // Claims are a mixer's claims on their way to the bank.
 type Claims struct {
 	From string        `json:"f,omitempty"` // the agent; empty: the proxy on the same machine
-	List []purse.Claim `json:"l"`
+	List []quota.Claim `json:"l"`
 }
 
 // Grants is the answer.
 type Grants struct {
-	List []purse.Grant `json:"l"`
+	List []quota.Grant `json:"l"`
 }
 
 var (
-	claimCall = calls.Declare[Claims, Grants]("POST", "/Allow.Claim", mostWitness, "the proxy on the same machine")
-	leaseCall = calls.Declare[Claims, Grants]("POST", "/Allow.Lease", mostWitness, "every agent").Packed()
+	claimCall = rpc.Declare[Claims, Grants]("POST", "/Allow.Claim", mostWitness, "the proxy on the same machine")
+	leaseCall = rpc.Declare[Claims, Grants]("POST", "/Allow.Lease", mostWitness, "every agent").Packed()
 )
 
 const (
@@ -42,9 +42,9 @@
 	lookBank  = time.Second
 )
 
-func statedOf(c *charter.Charter) (out []purse.Stated) {
+func statedOf(c *routeconfig.Charter) (out []quota.Stated) {
 	for _, a := range c.Allowances {
-		out = append(out, purse.Stated{Name: a.Name, Rate: a.Rate, Burst: a.Burst})
+		out = append(out, quota.Stated{Name: a.Name, Rate: a.Rate, Burst: a.Burst})
 	}
 	return out
 }
@@ -53,19 +53,19 @@
 type clerk struct {
 	t    *tide
 	mu   sync.Mutex // the clients' goroutines and the one that claims
-	till *purse.Till
+	till *quota.Till
 	some bool
 	call chan struct{}
 }
 
 func newClerk(t *tide) *clerk {
-	return &clerk{t: t, till: purse.NewTill(purse.UsualTerms), call: make(chan struct{}, 1)}
+	return &clerk{t: t, till: quota.NewTill(quota.UsualTerms), call: make(chan struct{}, 1)}
 }
 
 func (k *clerk) now() int64 { return time.Since(k.t.start).Microseconds() }
 
 // state takes the allowances of the configuration that is in force from now on.
-func (k *clerk) state(c *charter.Charter) {
+func (k *clerk) state(c *routeconfig.Charter) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	list := statedOf(c)
@@ -152,24 +152,24 @@
 // vault is an agent's part: it passes claims on, and holds the bank where that is its duty.
 type vault struct {
 	n     *Node
-	bank  *purse.Bank // under the node's mu, as all below; nil: another holds it
+	bank  *quota.Bank // under the node's mu, as all below; nil: another holds it
 	epoch uint64
 	rank  uint64 // of the configuration that stated was read from
-	list  []purse.Stated
+	list  []quota.Stated
 	call  chan struct{}
 }
 
 func newVault(n *Node) *vault { return &vault{n: n, call: make(chan struct{}, 1)} }
 
 // told takes a configuration from the news. Under mu.
-func (v *vault) told(i rumour.Item) {
+func (v *vault) told(i gossip.Item) {
 	if i.Key != charterAt || i.Rank <= v.rank {
 		return
 	}
 	v.rank = i.Rank
-	var list []purse.Stated
+	var list []quota.Stated
 	if bytes.Contains(i.Body, []byte(`"allowances"`)) { // else it need not be read here
-		if c, err := charter.Read(i.Body); err == nil {
+		if c, err := routeconfig.Read(i.Body); err == nil {
 			list = statedOf(c)
 		}
 	}
@@ -188,12 +188,12 @@
 
 // hold has the bank here while the duty is. Under mu.
 func (v *vault) hold() {
-	epoch, holds := v.n.kin.Holds(herd.Duty)
+	epoch, holds := v.n.kin.Holds(outlier.Duty)
 	switch {
 	case !holds:
 		v.bank = nil
 	case v.bank == nil || v.epoch != epoch:
-		v.epoch, v.bank = epoch, purse.NewBank(v.n.now(), purse.UsualTerms, v.mixers())
+		v.epoch, v.bank = epoch, quota.NewBank(v.n.now(), quota.UsualTerms, v.mixers())
 		v.bank.State(v.list)
 	}
 	if v.bank != nil {
@@ -202,25 +202,25 @@
 }
 
 func (v *vault) serve(loop, inner *http.ServeMux) {
-	claimCall.On(loop, func(ctx context.Context, _ calls.Named, c Claims) (Grants, error) {
+	claimCall.On(loop, func(ctx context.Context, _ rpc.Named, c Claims) (Grants, error) {
 		v.n.mu.Lock()
 		v.hold()
 		if v.bank != nil {
 			defer v.n.mu.Unlock()
 			return Grants{v.bank.Claims(v.n.now(), v.n.self.Addr, v.mixers(), c.List)}, nil
 		}
-		holder, known := v.n.kin.Holder(herd.Duty)
+		holder, known := v.n.kin.Holder(outlier.Duty)
 		v.n.mu.Unlock()
 		if !known {
-			return Grants{}, calls.Fail(http.StatusServiceUnavailable, "nobody is known to hold the bank")
+			return Grants{}, rpc.Fail(http.StatusServiceUnavailable, "nobody is known to hold the bank")
 		}
 		return leaseCall.Ask(ctx, v.n.client, holder.Holder, "", Claims{From: v.n.self.Addr, List: c.List})
 	})
-	leaseCall.On(inner, func(_ context.Context, _ calls.Named, c Claims) (Grants, error) {
+	leaseCall.On(inner, func(_ context.Context, _ rpc.Named, c Claims) (Grants, error) {
 		v.n.mu.Lock()
 		defer v.n.mu.Unlock()
 		if v.hold(); v.bank == nil {
-			return Grants{}, calls.Fail(http.StatusConflict, "the duty is another's")
+			return Grants{}, rpc.Fail(http.StatusConflict, "the duty is another's")
 		}
 		return Grants{v.bank.Claims(v.n.now(), c.From, v.mixers(), c.List)}, nil
 	})
--- a/internal/weave/role/apart.go
+++ b/internal/node/role/apart.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"saddleport/choice"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/member"
+	"saddleport/internal/cluster/outlier"
+	"saddleport/internal/cluster/registry"
 	"saddleport/internal/exchange"
-	"saddleport/internal/fabric/herd"
-	"saddleport/internal/fabric/kin"
-	"saddleport/internal/fabric/roster"
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
 )
 
 // Laggards: a proxy watches its own answers and clients and tells its agent while it
@@ -26,13 +26,13 @@
 
 // Witness is a mixer's evidence on its way to the council.
 type Witness struct {
-	From string          `json:"f,omitempty"` // the agent; empty: the proxy on the same machine
-	List []herd.Evidence `json:"l"`
+	From string             `json:"f,omitempty"` // the agent; empty: the proxy on the same machine
+	List []outlier.Evidence `json:"l"`
 }
 
 var (
-	sawCall     = calls.Declare[Witness, Nothing]("POST", "/Herd.Saw", mostWitness, "the proxy on the same machine")
-	witnessCall = calls.Declare[Witness, Nothing]("POST", "/Herd.Witness", mostWitness, "every agent")
+	sawCall     = rpc.Declare[Witness, Nothing]("POST", "/Herd.Saw", mostWitness, "the proxy on the same machine")
+	witnessCall = rpc.Declare[Witness, Nothing]("POST", "/Herd.Witness", mostWitness, "every agent")
 )
 
 const (
@@ -47,7 +47,7 @@
 )
 
 // council is the duty of one mixer to say who is set apart.
-var council = kin.Duty{Name: herd.Duty, Kind: "echo"}
+var council = member.Duty{Name: outlier.Duty, Kind: "echo"}
 
 type place struct {
 	service string
@@ -63,9 +63,9 @@
 type flock struct {
 	t       *tide
 	mu      sync.Mutex // the exchange's goroutine, the clients' and the one that looks
-	servers *herd.Watch
-	callers *herd.Watch
-	groups  *herd.Groups
+	servers *outlier.Watch
+	callers *outlier.Watch
+	groups  *outlier.Groups
 	where   map[string]place // by server
 	kinds   map[kindOf]string
 	call    chan struct{}
@@ -74,9 +74,9 @@
 }
 
 func newFlock(t *tide) *flock {
-	slow := herd.Usual
+	slow := outlier.Usual
 	slow.Floor = callerFloor
-	return &flock{t: t, servers: herd.NewWatch(herd.Usual), callers: herd.NewWatch(slow), groups: herd.NewGroups(herd.Usual),
+	return &flock{t: t, servers: outlier.NewWatch(outlier.Usual), callers: outlier.NewWatch(slow), groups: outlier.NewGroups(outlier.Usual),
 		where: make(map[string]place), kinds: make(map[kindOf]string), call: make(chan struct{}, 1)}
 }
 
@@ -110,7 +110,7 @@
 		kind = fmt.Sprint(h.Class, " ", at.far)
 		f.kinds[of] = kind
 	}
-	if f.servers.Saw(f.now(), herd.Sample{Name: h.Server, Shard: at.service, Kind: kind, Took: h.Took.Microseconds(), Whole: whole}) {
+	if f.servers.Saw(f.now(), outlier.Sample{Name: h.Server, Shard: at.service, Kind: kind, Took: h.Took.Microseconds(), Whole: whole}) {
 		f.wake()
 	}
 }
@@ -119,7 +119,7 @@
 func (f *flock) took(caller string, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.callers.Saw(f.now(), herd.Sample{Name: callerName + caller, Shard: herd.Callers, Kind: "turn", Took: took.Microseconds(), Whole: true}) {
+	if f.callers.Saw(f.now(), outlier.Sample{Name: callerName + caller, Shard: outlier.Callers, Kind: "turn", Took: took.Microseconds(), Whole: true}) {
 		f.wake()
 	}
 }
@@ -143,8 +143,8 @@
 }
 
 // told takes the council's word from the news.
-func (f *flock) told(i rumour.Item) {
-	var a herd.Assignment
+func (f *flock) told(i gossip.Item) {
+	var a outlier.Assignment
 	if i.Gone() || json.Unmarshal(i.Body, &a) != nil {
 		return
 	}
@@ -207,7 +207,7 @@
 
 // members counts the servers of each service, and the callers seen. Under mu.
 func (f *flock) members() map[string]int {
-	out := map[string]int{herd.Callers: f.callers.Members(herd.Callers)}
+	out := map[string]int{outlier.Callers: f.callers.Members(outlier.Callers)}
 	for _, at := range f.where {
 		out[at.service]++
 	}
@@ -215,7 +215,7 @@
 }
 
 // regroup puts changes in force: requests that are out finish where they are.
-func (t *tide) regroup(changes []herd.Change) {
+func (t *tide) regroup(changes []outlier.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := choice.List{Form: choice.Delta}
@@ -232,7 +232,7 @@
 			callers = true
 			continue
 		}
-		if i, known := t.book.Get(roster.Prefix + c.Name); known && !i.Gone() {
+		if i, known := t.book.Get(registry.Prefix + c.Name); known && !i.Gone() {
 			if row, _, ok := t.server(i); ok {
 				list.Servers = append(list.Servers, row)
 			}
@@ -258,7 +258,7 @@
 // duty.
 type bench struct {
 	n       *Node
-	seat    *herd.Seat // under the node's mu, as all below
+	seat    *outlier.Seat // under the node's mu, as all below
 	members map[string]int
 	seq     uint64 // of the book, when members was made
 	passing bool
@@ -267,9 +267,9 @@
 }
 
 func newBench(n *Node) *bench {
-	b := &bench{n: n, seat: herd.NewSeat(herd.Usual, n.self.Addr), call: make(chan struct{}, 1), vault: newVault(n)}
-	n.took = func(i rumour.Item) {
-		var a herd.Assignment
+	b := &bench{n: n, seat: outlier.NewSeat(outlier.Usual, n.self.Addr), call: make(chan struct{}, 1), vault: newVault(n)}
+	n.took = func(i gossip.Item) {
+		var a outlier.Assignment
 		if i.Key == groupsAt && json.Unmarshal(i.Body, &a) == nil {
 			b.seat.Told(i.Rank, a)
 		}
@@ -281,10 +281,10 @@
 // serve answers the proxy and the other agents.
 func (b *bench) serve(loop, inner *http.ServeMux) {
 	b.vault.serve(loop, inner)
-	sawCall.On(loop, func(_ context.Context, _ calls.Named, w Witness) (Nothing, error) {
+	sawCall.On(loop, func(_ context.Context, _ rpc.Named, w Witness) (Nothing, error) {
 		b.n.mu.Lock()
 		defer b.n.mu.Unlock()
-		if c, known := b.n.kin.Holder(herd.Duty); known && c.Holder != b.n.self.Addr {
+		if c, known := b.n.kin.Holder(outlier.Duty); known && c.Holder != b.n.self.Addr {
 			if !b.passing {
 				b.passing = true
 				go b.pass(c.Holder, Witness{From: b.n.self.Addr, List: w.List})
@@ -294,11 +294,11 @@
 		b.given(b.n.self.Addr, w.List)
 		return Nothing{}, nil
 	})
-	witnessCall.On(inner, func(_ context.Context, _ calls.Named, w Witness) (Nothing, error) {
+	witnessCall.On(inner, func(_ context.Context, _ rpc.Named, w Witness) (Nothing, error) {
 		b.n.mu.Lock()
 		defer b.n.mu.Unlock()
 		if !b.given(w.From, w.List) {
-			return Nothing{}, calls.Fail(http.StatusConflict, "the duty is another's")
+			return Nothing{}, rpc.Fail(http.StatusConflict, "the duty is another's")
 		}
 		return Nothing{}, nil
 	})
@@ -314,7 +314,7 @@
 }
 
 // given takes evidence where the council is held here. Under mu.
-func (b *bench) given(from string, list []herd.Evidence) bool {
+func (b *bench) given(from string, list []outlier.Evidence) bool {
 	b.hold()
 	if !b.seat.Given(b.n.now(), from, list) {
 		return false
@@ -327,7 +327,7 @@
 }
 
 func (b *bench) hold() {
-	epoch, holds := b.n.kin.Holds(herd.Duty)
+	epoch, holds := b.n.kin.Holds(outlier.Duty)
 	b.seat.Holds(b.n.now(), epoch, holds)
 }
 
@@ -355,9 +355,9 @@
 	b.hold()
 	if seq := b.n.book.Seq(); seq != b.seq {
 		b.seq, b.members = seq, make(map[string]int)
-		b.n.book.Each(func(i rumour.Item, _ int64) {
-			if strings.HasPrefix(i.Key, roster.Prefix) && !i.Gone() {
-				if s, err := roster.Parse(i); err == nil {
+		b.n.book.Each(func(i gossip.Item, _ int64) {
+			if strings.HasPrefix(i.Key, registry.Prefix) && !i.Gone() {
+				if s, err := registry.Parse(i); err == nil {
 					b.members[s.Service]++
 				}
 			}
@@ -369,7 +369,7 @@
 		if err != nil {
 			panic(err) // numbers and texts always have a form
 		}
-		b.n.put(rumour.Item{Key: groupsAt, Rank: rank, Body: body})
+		b.n.put(gossip.Item{Key: groupsAt, Rank: rank, Body: body})
 	}
 	return b.seat.Busy()
 }
--- a/internal/weave/role/core.go
+++ b/internal/node/role/core.go
@@ -14,14 +14,14 @@
 	"sync"
 	"time"
 
-	"saddleport/internal/fabric/chain"
-	"saddleport/internal/fabric/charter"
-	"saddleport/internal/fabric/helm"
-	"saddleport/internal/fabric/pact"
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
-	"saddleport/internal/weave/store"
+	"saddleport/internal/cluster/chain"
+	"saddleport/internal/cluster/consensus"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/replica"
+	"saddleport/internal/cluster/routeconfig"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
+	"saddleport/internal/node/storage"
 )
 
 // Mail carries messages between core machines. Nothing is answered but that it came: what
@@ -30,7 +30,7 @@
 	Messages []chain.Message `json:"m"`
 }
 
-var mailCall = calls.Declare[Mail, Nothing]("POST", "/Core.Mail", 4*mostCall, "core processes").Packed()
+var mailCall = rpc.Declare[Mail, Nothing]("POST", "/Core.Mail", 4*mostCall, "core processes").Packed()
 
 const (
 	coreTick    = 100 * time.Millisecond
@@ -52,17 +52,17 @@
 type core struct {
 	node *Node
 	dir  string
-	disk *store.Store
+	disk *storage.Store
 
 	in      chan func()
 	done    chan struct{}
-	helm    *helm.Machine                // owned by the loop
+	helm    *replica.Machine             // owned by the loop
 	waiting map[string]chan chain.Result // the same
 	told    uint64                       // rank of the configuration announced; the same
 	epoch   uint64                       // of the view announced; the same
 
 	mu      sync.Mutex
-	queue   []helm.Output
+	queue   []replica.Output
 	servers []byte       // to be kept, beside what promises rest on; nil: as they are
 	known   *chain.Entry // the same
 	ready   chan struct{}
@@ -81,7 +81,7 @@
 // openDisk reads what the disk holds. One that is empty though the system is not new, or
 // that can't be read, is another disk: what it once held and promised is not known, and it
 // counts for nothing until the others have taken it in.
-func openDisk(boot *Boot) (*store.Store, helm.Record, error) {
+func openDisk(boot *Boot) (*storage.Store, replica.Record, error) {
 	s, r, err := readDisk(boot)
 	if err != nil {
 		events.Damaged.Log("dir", boot.Dir, "err", err)
@@ -95,30 +95,30 @@
 		if err := os.Rename(filepath.Join(boot.Dir, "state"), aside); err != nil && !os.IsNotExist(err) {
 			return nil, r, err
 		}
-		if s, err = store.Open(boot.Dir); err != nil {
+		if s, err = storage.Open(boot.Dir); err != nil {
 			return nil, r, err
 		}
-		r = helm.Record{}
+		r = replica.Record{}
 	}
 	fresh := err != nil
 	if r.State.Self == (chain.Member{}) || r.State.Self.Addr != boot.Inner() {
-		r.State = pact.State{Self: chain.Member{Addr: boot.Inner(), Disk: nonce()}}
+		r.State = consensus.State{Self: chain.Member{Addr: boot.Inner(), Disk: nonce()}}
 		if boot.Bootstrap && !fresh && slices.Contains(boot.SeedPeers(), boot.Inner()) {
-			r.State.Self.Disk = pact.FirstDisk
-			r.State.View = pact.Genesis(boot.SeedPeers())
+			r.State.Self.Disk = consensus.FirstDisk
+			r.State.View = consensus.Genesis(boot.SeedPeers())
 		} else if !boot.Bootstrap {
 			events.Filling.Log("as", r.State.Self)
 		}
-		if err := s.Put(store.Entry{Key: keyState, Value: helm.Encode(r.State)}); err != nil {
+		if err := s.Put(storage.Entry{Key: keyState, Value: replica.Encode(r.State)}); err != nil {
 			return s, r, err
 		}
 	}
 	return s, r, nil
 }
 
-func readDisk(boot *Boot) (*store.Store, helm.Record, error) {
-	var r helm.Record
-	s, err := store.Open(boot.Dir)
+func readDisk(boot *Boot) (*storage.Store, replica.Record, error) {
+	var r replica.Record
+	s, err := storage.Open(boot.Dir)
 	if err != nil {
 		return nil, r, err
 	}
@@ -126,7 +126,7 @@
 	if err != nil || state == nil {
 		return s, r, err
 	}
-	if r.State, err = helm.Decode(state); err != nil {
+	if r.State, err = replica.Decode(state); err != nil {
 		return s, r, err
 	}
 	raw, err := s.Get(keyEntry)
@@ -158,7 +158,7 @@
 	}
 	c := &core{node: n, dir: boot.Dir, disk: disk, in: make(chan func(), 256), done: make(chan struct{}),
 		waiting: make(map[string]chan chain.Result), ready: make(chan struct{}, 1), posts: make(map[string]*post)}
-	c.helm = helm.New(c.now(), helm.Usual(boot.Faults), r, boot.SeedPeers(), nonce(), chain.Breaks{})
+	c.helm = replica.New(c.now(), replica.Usual(boot.Faults), r, boot.SeedPeers(), nonce(), chain.Breaks{})
 	// What was acknowledged stays so: the proxies need not wait until the chain stands.
 	if raw, err := disk.Get(keyKnown); err == nil && raw != nil {
 		var e chain.Entry
@@ -198,7 +198,7 @@
 	go func() { defer wait.Done(); c.write(ctx) }()
 	tick := time.NewTicker(coreTick)
 	defer tick.Stop()
-	c.flow(helm.Output{})
+	c.flow(replica.Output{})
 	for {
 		select {
 		case <-ctx.Done():
@@ -230,7 +230,7 @@
 }
 
 // flow queues what a step returned, and makes known what is safe. On the loop.
-func (c *core) flow(out helm.Output) {
+func (c *core) flow(out replica.Output) {
 	if out.Write != nil || len(out.Send) > 0 || len(out.Results) > 0 {
 		c.mu.Lock()
 		c.queue = append(c.queue, out)
@@ -248,7 +248,7 @@
 		c.epoch = v.Epoch
 		events.View.Log("epoch", v.Epoch, "members", len(v.Members), "chain", fmt.Sprint(v.Chain), "member", c.helm.Pact.Member())
 		if body, err := json.Marshal(v); err == nil {
-			c.node.Put(rumour.Item{Key: viewAt, Rank: v.Epoch, Body: body})
+			c.node.Put(gossip.Item{Key: viewAt, Rank: v.Epoch, Body: body})
 		}
 	}
 }
@@ -264,9 +264,9 @@
 // announce makes an acknowledged configuration known to all.
 func (c *core) announce(e chain.Entry) {
 	c.told = e.Rank
-	if ch, err := charter.Read(e.Raw); err == nil {
+	if ch, err := routeconfig.Read(e.Raw); err == nil {
 		events.Acknowledged.Log("version", ch.Revision)
-		c.node.Put(rumour.Item{Key: charterAt, Rank: e.Rank, Body: json.RawMessage(e.Raw)})
+		c.node.Put(gossip.Item{Key: charterAt, Rank: e.Rank, Body: json.RawMessage(e.Raw)})
 	}
 }
 
@@ -284,7 +284,7 @@
 		c.queue, c.servers, c.known = nil, nil, nil
 		c.since = time.Now()
 		c.mu.Unlock()
-		var r helm.Record
+		var r replica.Record
 		dirty := false
 		for _, out := range batch {
 			if out.Write != nil {
@@ -304,7 +304,7 @@
 			case <-ctx.Done():
 			case <-time.After(diskRetry):
 			}
-			if s, err := store.Open(c.dir); err == nil { // a store that failed once takes no more writes
+			if s, err := storage.Open(c.dir); err == nil { // a store that failed once takes no more writes
 				c.disk.Close()
 				c.disk = s
 			}
@@ -316,7 +316,7 @@
 			return
 		}
 		if servers != nil { // nothing rests on it: should it fail, the next change is kept
-			c.disk.Put(store.Entry{Key: keyServers, Value: servers})
+			c.disk.Put(storage.Entry{Key: keyServers, Value: servers})
 		}
 		for _, out := range batch {
 			c.send(out.Send)
@@ -327,20 +327,20 @@
 		}
 		if known != nil { // nothing rests on it either, and it is large: last
 			if raw, err := json.Marshal(known); err == nil {
-				c.disk.Put(store.Entry{Key: keyKnown, Value: raw})
+				c.disk.Put(storage.Entry{Key: keyKnown, Value: raw})
 			}
 		}
 	}
 }
 
-func (c *core) keep(r helm.Record) error {
-	entries := []store.Entry{{Key: keyState, Value: helm.Encode(r.State)}}
+func (c *core) keep(r replica.Record) error {
+	entries := []storage.Entry{{Key: keyState, Value: replica.Encode(r.State)}}
 	if r.Entry != nil {
 		raw, err := json.Marshal(r.Entry)
 		if err != nil {
 			return err
 		}
-		entries = append(entries, store.Entry{Key: keyEntry, Value: raw})
+		entries = append(entries, storage.Entry{Key: keyEntry, Value: raw})
 	}
 	return c.disk.Put(entries...)
 }
@@ -354,7 +354,7 @@
 }
 
 // remembered is what was kept of them.
-func (c *core) remembered() (list []rumour.Item) {
+func (c *core) remembered() (list []gossip.Item) {
 	if raw, err := c.disk.Get(keyServers); err == nil && raw != nil {
 		json.Unmarshal(raw, &list)
 	}
@@ -418,7 +418,7 @@
 
 // serve answers the other core machines.
 func (c *core) serve(mux *http.ServeMux) {
-	mailCall.On(mux, func(ctx context.Context, _ calls.Named, m Mail) (Nothing, error) {
+	mailCall.On(mux, func(ctx context.Context, _ rpc.Named, m Mail) (Nothing, error) {
 		return Nothing{}, c.do(ctx, func() {
 			for _, msg := range m.Messages {
 				c.flow(c.helm.Got(c.now(), msg))
@@ -428,7 +428,7 @@
 }
 
 // ask steps the machine for a caller and waits for its result.
-func (c *core) ask(ctx context.Context, step func(now int64) (string, helm.Output)) (chain.Result, error) {
+func (c *core) ask(ctx context.Context, step func(now int64) (string, replica.Output)) (chain.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	ch := make(chan chain.Result, 1)
--- a/internal/weave/role/disk_test.go
+++ b/internal/node/role/disk_test.go
@@ -10,11 +10,11 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"saddleport/internal/fabric/chain"
-	"saddleport/internal/fabric/helm"
-	"saddleport/internal/fabric/pact"
-	"saddleport/internal/weave/events"
-	"saddleport/internal/weave/store"
+	"saddleport/internal/cluster/chain"
+	"saddleport/internal/cluster/consensus"
+	"saddleport/internal/cluster/replica"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/storage"
 )
 
 // Which disk a core machine finds: its own, an empty one, a damaged one, another's. Only
@@ -23,13 +23,13 @@
 	Convey("A core machine's disk", t, func() {
 		events.To(io.Discard)
 		f := newFleet(t)
-		first := func() helm.Record {
+		first := func() replica.Record {
 			s, r, err := openDisk(f.boot(1, true))
 			So(err, ShouldBeNil)
 			So(s.Close(), ShouldBeNil)
 			return r
 		}
-		again := func(machine int) (helm.Record, error) {
+		again := func(machine int) (replica.Record, error) {
 			s, r, err := openDisk(f.boot(machine, false))
 			if err == nil {
 				So(s.Close(), ShouldBeNil)
@@ -38,7 +38,7 @@
 		}
 		dir := f.boot(1, true).Dir
 		r := first()
-		So(r.State.Self.Disk, ShouldEqual, pact.FirstDisk)
+		So(r.State.Self.Disk, ShouldEqual, consensus.FirstDisk)
 		So(r.State.View.Members, ShouldHaveLength, 3)
 
 		Convey("is known again", func() {
@@ -51,7 +51,7 @@
 			So(os.RemoveAll(filepath.Join(dir, "state")), ShouldBeNil)
 			back, err := again(1)
 			So(err, ShouldBeNil)
-			So(back.State.Self.Disk, ShouldNotEqual, pact.FirstDisk)
+			So(back.State.Self.Disk, ShouldNotEqual, consensus.FirstDisk)
 			So(back.State.View.Epoch, ShouldEqual, uint64(0))
 			once, err := again(1) // and stays that one
 			So(err, ShouldBeNil)
@@ -66,7 +66,7 @@
 			}
 			back, err := again(1)
 			So(err, ShouldBeNil)
-			So(back.State.Self.Disk, ShouldNotEqual, pact.FirstDisk)
+			So(back.State.Self.Disk, ShouldNotEqual, consensus.FirstDisk)
 			_, err = os.Stat(filepath.Join(dir, "damaged"))
 			So(err, ShouldBeNil)
 		})
@@ -75,19 +75,19 @@
 			back, err := again(2)
 			So(err, ShouldBeNil)
 			So(back.State.Self.Addr, ShouldEqual, f.boot(2, false).Inner())
-			So(back.State.Self.Disk, ShouldNotEqual, pact.FirstDisk)
+			So(back.State.Self.Disk, ShouldNotEqual, consensus.FirstDisk)
 			So(back.State.View.Epoch, ShouldEqual, uint64(0))
 		})
 		Convey("whose configuration is older than its view says is not trusted", func() {
-			s, err := store.Open(dir)
+			s, err := storage.Open(dir)
 			So(err, ShouldBeNil)
 			r.State.View.Base = 9 << chain.MarkBits
 			old, _ := json.Marshal(chain.Entry{Rank: 8 << chain.MarkBits, Raw: []byte("x")})
-			So(s.Put(store.Entry{Key: keyState, Value: helm.Encode(r.State)}, store.Entry{Key: keyEntry, Value: old}), ShouldBeNil)
+			So(s.Put(storage.Entry{Key: keyState, Value: replica.Encode(r.State)}, storage.Entry{Key: keyEntry, Value: old}), ShouldBeNil)
 			So(s.Close(), ShouldBeNil)
 			back, err := again(1)
 			So(err, ShouldBeNil)
-			So(back.State.Self.Disk, ShouldNotEqual, pact.FirstDisk)
+			So(back.State.Self.Disk, ShouldNotEqual, consensus.FirstDisk)
 			So(back.Entry, ShouldBeNil)
 		})
 	})
@@ -121,7 +121,7 @@
 		c.mu.Unlock()
 		c.wake()
 		until("it kept", func() bool { raw, err := c.disk.Get(keyKnown); return err == nil && raw != nil })
-		So(c.keep(helm.Record{State: c.helm.Pact.State, Entry: &held}), ShouldBeNil)
+		So(c.keep(replica.Record{State: c.helm.Pact.State, Entry: &held}), ShouldBeNil)
 		cancel()
 		<-over
 		So(c.disk.Close(), ShouldBeNil)
--- a/internal/weave/role/echo.go
+++ b/internal/node/role/echo.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
-	"saddleport/internal/weave/link"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
+	"saddleport/internal/node/transport"
 )
 
 // Feed is what a proxy asks its agent for: what changed since a count of the agent's
@@ -19,7 +19,7 @@
 	Life  string        `json:"life"` // of the agent, as its last answer told it
 	Since uint64        `json:"since"`
 	Rank  uint64        `json:"rank"`           // of the configuration that the proxy holds
-	News  []rumour.Item `json:"news,omitempty"` // which an agent that lacks it wants
+	News  []gossip.Item `json:"news,omitempty"` // which an agent that lacks it wants
 }
 
 // Fed is the answer.
@@ -27,10 +27,10 @@
 	Life  string        `json:"life"`
 	Seq   uint64        `json:"seq"`
 	Want  bool          `json:"want,omitempty"` // of the proxy's configuration
-	Items []rumour.Item `json:"items,omitempty"`
+	Items []gossip.Item `json:"items,omitempty"`
 }
 
-var feedCall = calls.Declare[Feed, Fed]("POST", "/Feed", mostCall, "the proxy on the same machine")
+var feedCall = rpc.Declare[Feed, Fed]("POST", "/Feed", mostCall, "the proxy on the same machine")
 
 const (
 	feedWait   = 8 * time.Second        // less than a caller waits for an answer to begin
@@ -47,7 +47,7 @@
 	var open atomic.Int64 // calls of the proxy that wait
 	life := strconv.FormatInt(time.Now().UnixNano(), 36)
 	loop := http.NewServeMux()
-	feedCall.On(loop, func(ctx context.Context, _ calls.Named, f Feed) (Fed, error) {
+	feedCall.On(loop, func(ctx context.Context, _ rpc.Named, f Feed) (Fed, error) {
 		open.Add(1)
 		defer func() { fed.Store(n.now()); open.Add(-1) }()
 		n.mu.Lock()
@@ -80,11 +80,11 @@
 	b.serve(loop, inner)
 	onShow(loop, "echo", boot.Name, n.start, b.tables)
 	onExplain(loop, "echo", boot.Name, n.start, b.explain)
-	lnLoop, err := link.Listen(ctx, boot.Loop())
+	lnLoop, err := transport.Listen(ctx, boot.Loop())
 	if err != nil {
 		return err
 	}
-	lnInner, err := link.Listen(ctx, boot.Inner())
+	lnInner, err := transport.Listen(ctx, boot.Inner())
 	if err != nil {
 		return err
 	}
@@ -92,8 +92,8 @@
 	over := make(chan struct{})
 	defer func() { end(); <-over }()
 	failed := make(chan error, 2)
-	go func() { failed <- calls.Serve(running, lnLoop, loop, feedWait+5*time.Second) }()
-	go func() { failed <- calls.Serve(running, lnInner, inner, 0) }()
+	go func() { failed <- rpc.Serve(running, lnLoop, loop, feedWait+5*time.Second) }()
+	go func() { failed <- rpc.Serve(running, lnInner, inner, 0) }()
 	go func() { n.Run(running); close(over) }()
 	go set.Watch(running)
 	go b.run(running)
--- a/internal/weave/role/fleet_test.go
+++ b/internal/node/role/fleet_test.go
@@ -17,11 +17,11 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"saddleport/internal/fabric/roster"
-	"saddleport/internal/fabric/rumour"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/registry"
 	"saddleport/internal/lab/standin"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
 )
 
 // fleet is the system's processes, as goroutines, each machine at a loopback address of
@@ -119,7 +119,7 @@
 }
 
 func (f *fleet) beat(machine int, s *standin.Server, service, state string, seq int64) int {
-	b, _ := json.Marshal(roster.Beat{Service: service, Addr: s.Addr, Zone: "z1", Capacity: 3, State: state, Sequence: seq})
+	b, _ := json.Marshal(registry.Beat{Service: service, Addr: s.Addr, Zone: "z1", Capacity: 3, State: state, Sequence: seq})
 	code, _ := f.call("POST", f.control(machine), "/Instances.Heartbeat/"+s.ID, string(b))
 	return code
 }
@@ -163,7 +163,7 @@
 func (f *fleet) shows(program string, machine int, text string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	s, err := ShowCall.Ask(ctx, calls.NewClient(time.Second), ShowAt(program, f.boot(machine, false)), "", nil)
+	s, err := ShowCall.Ask(ctx, rpc.NewClient(time.Second), ShowAt(program, f.boot(machine, false)), "", nil)
 	return err == nil && strings.Contains(s.Text(), text)
 }
 
@@ -312,21 +312,21 @@
 		var raw bytes.Buffer
 		So(json.Compact(&raw, []byte(config(5, "v5"))), ShouldBeNil)
 		loop, given := http.NewServeMux(), make(chan Feed, 100)
-		feedCall.On(loop, func(ctx context.Context, _ calls.Named, q Feed) (Fed, error) {
+		feedCall.On(loop, func(ctx context.Context, _ rpc.Named, q Feed) (Fed, error) {
 			given <- q
 			switch {
 			case len(q.News) > 0:
 				<-ctx.Done()
 			case q.Life == "":
-				return Fed{Life: "one", Seq: 1, Items: []rumour.Item{{Key: charterAt, Rank: 5 << 16, Body: raw.Bytes()}}}, nil
+				return Fed{Life: "one", Seq: 1, Items: []gossip.Item{{Key: charterAt, Rank: 5 << 16, Body: raw.Bytes()}}}, nil
 			}
-			return Fed{Life: "two", Seq: 1, Want: true, Items: []rumour.Item{{Key: charterAt, Rank: 4 << 16, Body: raw.Bytes()}}}, nil
+			return Fed{Life: "two", Seq: 1, Want: true, Items: []gossip.Item{{Key: charterAt, Rank: 4 << 16, Body: raw.Bytes()}}}, nil
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		ln, err := net.Listen("tcp4", f.boot(11, true).Loop())
 		So(err, ShouldBeNil)
-		go calls.Serve(ctx, ln, loop, time.Minute)
+		go rpc.Serve(ctx, ln, loop, time.Minute)
 		f.start("tide", 11, true, Tide)
 		So((<-given).Life, ShouldEqual, "")
 		So((<-given).Rank, ShouldEqual, uint64(5<<16)) // it says what it holds
--- a/internal/weave/role/keel.go
+++ b/internal/node/role/keel.go
@@ -13,14 +13,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"saddleport/internal/fabric/chain"
-	"saddleport/internal/fabric/charter"
-	"saddleport/internal/fabric/helm"
-	"saddleport/internal/fabric/roster"
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
-	"saddleport/internal/weave/link"
+	"saddleport/internal/cluster/chain"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/registry"
+	"saddleport/internal/cluster/replica"
+	"saddleport/internal/cluster/routeconfig"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
+	"saddleport/internal/node/transport"
 )
 
 // Beaten is the answer to a heartbeat.
@@ -32,10 +32,10 @@
 type Nothing struct{}
 
 var (
-	beatCall     = calls.Declare[roster.Beat, Beaten]("POST", "/Instances.Heartbeat/{name}", 16<<10, "servers")
-	leaveCall    = calls.Declare[calls.Raw, Nothing]("POST", "/Instances.Deregister/{name}", 16<<10, "servers")
-	replaceCall  = calls.Declare[calls.Raw, Nothing]("POST", "/Config.Replace", mostCall, "the operator")
-	describeCall = calls.Declare[calls.Raw, calls.Raw]("GET", "/Config.Describe", mostCall, "the operator")
+	beatCall     = rpc.Declare[registry.Beat, Beaten]("POST", "/Instances.Heartbeat/{name}", 16<<10, "servers")
+	leaveCall    = rpc.Declare[rpc.Raw, Nothing]("POST", "/Instances.Deregister/{name}", 16<<10, "servers")
+	replaceCall  = rpc.Declare[rpc.Raw, Nothing]("POST", "/Config.Replace", mostCall, "the operator")
+	describeCall = rpc.Declare[rpc.Raw, rpc.Raw]("GET", "/Config.Describe", mostCall, "the operator")
 )
 
 const (
@@ -50,9 +50,9 @@
 
 type keel struct {
 	*Node
-	roster *roster.Roster // under mu
-	kept   []byte         // what is remembered of the servers that beat here; under mu
-	keeps  int            // how many they are
+	roster *registry.Roster // under mu
+	kept   []byte           // what is remembered of the servers that beat here; under mu
+	keeps  int              // how many they are
 
 	core *core
 }
@@ -67,7 +67,7 @@
 func Keel(ctx context.Context, set *Settings) error {
 	boot := set.Boot()
 	k := &keel{Node: NewNode(set, "keel")}
-	k.roster = roster.New(k.self.Addr, int64(quietBeats*float64(boot.Beat.Microseconds())))
+	k.roster = registry.New(k.self.Addr, int64(quietBeats*float64(boot.Beat.Microseconds())))
 	k.took = k.told
 	var err error
 	if k.core, err = newCore(k.Node, boot); err != nil {
@@ -81,7 +81,7 @@
 	k.core.serve(inner)
 	onShow(inner, "keel", boot.Name, k.start, k.tables)
 	beatCall.On(outer, k.beat)
-	leaveCall.On(outer, func(_ context.Context, who calls.Named, _ calls.Raw) (Nothing, error) {
+	leaveCall.On(outer, func(_ context.Context, who rpc.Named, _ rpc.Raw) (Nothing, error) {
 		events.ServerLeft.Log("server", who.Name)
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -90,19 +90,19 @@
 	})
 	replaceCall.On(outer, k.replace)
 	describeCall.On(outer, k.describe)
-	lnOuter, err := link.Listen(ctx, boot.Control)
+	lnOuter, err := transport.Listen(ctx, boot.Control)
 	if err != nil {
 		return err
 	}
-	lnInner, err := link.Listen(ctx, boot.Inner())
+	lnInner, err := transport.Listen(ctx, boot.Inner())
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	failed := make(chan error, 2)
-	go func() { failed <- calls.Serve(ctx, lnOuter, outer, 10*time.Second) }()
-	go func() { failed <- calls.Serve(ctx, lnInner, inner, 0) }()
+	go func() { failed <- rpc.Serve(ctx, lnOuter, outer, 10*time.Second) }()
+	go func() { failed <- rpc.Serve(ctx, lnInner, inner, 0) }()
 	var over sync.WaitGroup
 	over.Go(func() { k.Run(ctx) })
 	over.Go(func() { k.core.run(ctx) })
@@ -138,9 +138,9 @@
 // remember keeps the servers that beat here on the disk when they have changed. After a
 // loss of all processes they are known at once, not only when each has beaten again. Under mu.
 func (k *keel) remember() {
-	var list []rumour.Item
-	k.book.All(func(i rumour.Item) {
-		if strings.HasPrefix(i.Key, roster.Prefix) && !i.Gone() && k.roster.Hears(strings.TrimPrefix(i.Key, roster.Prefix)) {
+	var list []gossip.Item
+	k.book.All(func(i gossip.Item) {
+		if strings.HasPrefix(i.Key, registry.Prefix) && !i.Gone() && k.roster.Hears(strings.TrimPrefix(i.Key, registry.Prefix)) {
 			list = append(list, i)
 		}
 	})
@@ -162,15 +162,15 @@
 	for _, p := range k.kin.Peers("keel") {
 		hearers[p.Addr] = true
 	}
-	var long []rumour.Item
-	k.book.Each(func(i rumour.Item, at int64) {
-		if i.Gone() || !strings.HasPrefix(i.Key, roster.Prefix) {
+	var long []gossip.Item
+	k.book.Each(func(i gossip.Item, at int64) {
+		if i.Gone() || !strings.HasPrefix(i.Key, registry.Prefix) {
 			return
 		}
-		s, err := roster.Parse(i)
+		s, err := registry.Parse(i)
 		switch {
 		case err != nil:
-		case s.State == roster.Silent:
+		case s.State == registry.Silent:
 			if duty && now-at > letAfter.Microseconds() {
 				long = append(long, i)
 			}
@@ -179,28 +179,28 @@
 		}
 	})
 	for _, i := range long {
-		k.put(roster.Let(i))
+		k.put(registry.Let(i))
 	}
 }
 
 // told has the roster see the news of others. Under mu.
-func (k *keel) told(i rumour.Item) {
-	if len(i.Key) > 2 && i.Key[:2] == roster.Prefix {
+func (k *keel) told(i gossip.Item) {
+	if len(i.Key) > 2 && i.Key[:2] == registry.Prefix {
 		if news, is := k.roster.Told(k.now(), i); is {
 			k.put(news)
 		}
 	}
 }
 
-func (k *keel) beat(_ context.Context, who calls.Named, b roster.Beat) (Beaten, error) {
+func (k *keel) beat(_ context.Context, who rpc.Named, b registry.Beat) (Beaten, error) {
 	near := k.near(who.Name, b.Zone)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	held, known := k.book.Get(roster.Prefix + who.Name)
+	held, known := k.book.Get(registry.Prefix + who.Name)
 	news, is, err := k.roster.Heard(k.now(), who.Name, b, held, known)
 	if err != nil {
 		events.BadBeat.Log("server", who.Name, "peer", who.Peer, "err", err)
-		return Beaten{}, calls.Fail(http.StatusBadRequest, "%v", err)
+		return Beaten{}, rpc.Fail(http.StatusBadRequest, "%v", err)
 	}
 	if is {
 		if !known {
@@ -217,7 +217,7 @@
 // region, the same one for as long as the core stays as it is. "": this one will do.
 func (k *keel) near(server, zone string) string {
 	region := k.set.Boot().Regions[zone]
-	far := func(p rumour.Process) int {
+	far := func(p gossip.Process) int {
 		switch {
 		case p.Zone == zone:
 			return 0
@@ -241,34 +241,34 @@
 	return best.Control
 }
 
-func (k *keel) replace(ctx context.Context, who calls.Named, raw calls.Raw) (Nothing, error) {
-	c, err := charter.Read(raw)
+func (k *keel) replace(ctx context.Context, who rpc.Named, raw rpc.Raw) (Nothing, error) {
+	c, err := routeconfig.Read(raw)
 	if err != nil {
 		events.Invalid.Log("peer", who.Peer, "path", err)
-		return Nothing{}, calls.Fail(http.StatusBadRequest, "%v", err)
+		return Nothing{}, rpc.Fail(http.StatusBadRequest, "%v", err)
 	}
 	e := chain.Entry{Rank: rank(c.Revision, raw), Raw: raw}
-	if _, err := k.core.ask(ctx, func(now int64) (string, helm.Output) { return k.core.helm.Put(now, e) }); err != nil {
+	if _, err := k.core.ask(ctx, func(now int64) (string, replica.Output) { return k.core.helm.Put(now, e) }); err != nil {
 		events.Unsafe.Log("version", c.Revision, "err", err)
 		return Nothing{}, later(err)
 	}
 	return Nothing{}, nil
 }
 
-func (k *keel) describe(ctx context.Context, _ calls.Named, _ calls.Raw) (calls.Raw, error) {
-	r, err := k.core.ask(ctx, func(now int64) (string, helm.Output) { return k.core.helm.Get(now) })
+func (k *keel) describe(ctx context.Context, _ rpc.Named, _ rpc.Raw) (rpc.Raw, error) {
+	r, err := k.core.ask(ctx, func(now int64) (string, replica.Output) { return k.core.helm.Get(now) })
 	if err != nil {
 		return nil, later(err)
 	}
 	if r.Entry.Rank == 0 {
-		return nil, calls.Fail(http.StatusNotFound, "no configuration was ever acknowledged")
+		return nil, rpc.Fail(http.StatusNotFound, "no configuration was ever acknowledged")
 	}
 	return r.Entry.Raw, nil
 }
 
 // later has a caller come again: what it asked for may have been done, or may yet be.
-func later(err error) *calls.Outcome {
-	o := calls.Fail(http.StatusServiceUnavailable, "%v", err)
+func later(err error) *rpc.Outcome {
+	o := rpc.Fail(http.StatusServiceUnavailable, "%v", err)
 	o.Retry = retryAfter
 	return o
 }
--- a/internal/weave/role/life.go
+++ b/internal/node/role/life.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"saddleport/internal/weave/events"
+	"saddleport/internal/node/events"
 )
 
 const lookEvery = 5 * time.Second // at the settings file, which may change without a signal
--- a/internal/weave/role/node.go
+++ b/internal/node/role/node.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"saddleport/internal/fabric/kin"
-	"saddleport/internal/fabric/ring"
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/fabric/turn"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
+	"saddleport/internal/cluster/failuredetector"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/lease"
+	"saddleport/internal/cluster/member"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
 )
 
 const (
@@ -26,8 +26,8 @@
 
 // The calls between all agents and core processes.
 var (
-	passCall  = calls.Declare[rumour.Pass, rumour.Passed]("POST", "/Rumour.Pass", mostCall, "every agent and core process").Packed()
-	afterCall = calls.Declare[After, Heard]("POST", "/Ring.After", 4<<10, "every agent and core process")
+	passCall  = rpc.Declare[gossip.Pass, gossip.Passed]("POST", "/Rumour.Pass", mostCall, "every agent and core process").Packed()
+	afterCall = rpc.Declare[After, Heard]("POST", "/Ring.After", 4<<10, "every agent and core process")
 )
 
 // After asks whether another process is heard of, or the one called itself.
@@ -44,22 +44,22 @@
 const charterAt = "c"
 
 // orphans is the duty of one core machine to listen for servers that nobody listens for.
-var orphans = kin.Duty{Name: "orphans", Kind: "keel"}
+var orphans = member.Duty{Name: "orphans", Kind: "keel"}
 
 // Node is what an agent and a core process have in common. It does the calls that the
 // machine wants, and knows nothing of what it decides by.
 type Node struct {
 	set    *Settings
-	self   rumour.Process
-	client *calls.Client
+	self   gossip.Process
+	client *rpc.Client
 	start  time.Time
-	took   func(rumour.Item) // after news was taken, under mu; nil: nobody
+	took   func(gossip.Item) // after news was taken, under mu; nil: nobody
 	calls  sync.WaitGroup
 
 	mu      sync.Mutex
 	ctx     context.Context // of the calls; ends with Run
-	kin     *kin.Machine
-	book    *rumour.Book  // kin's
+	kin     *member.Machine
+	book    *gossip.Book  // kin's
 	changed chan struct{} // closed at the next change
 	hot     chan struct{} // the loop has something to do
 }
@@ -67,9 +67,9 @@
 // NewNode returns a node that knows itself alone.
 func NewNode(set *Settings, kind string) *Node {
 	boot := set.Boot()
-	n := &Node{set: set, client: calls.NewClient(dialPeer), start: time.Now(), changed: make(chan struct{}), hot: make(chan struct{}, 1)}
-	n.self = rumour.Process{Addr: boot.Inner(), Name: boot.Name, Kind: kind, Zone: boot.Zone, Region: boot.Region, Control: boot.Control}
-	n.kin = kin.New(n.now(), kin.Usual(orphans, council), n.self, boot.SeedPeers(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n := &Node{set: set, client: rpc.NewClient(dialPeer), start: time.Now(), changed: make(chan struct{}), hot: make(chan struct{}, 1)}
+	n.self = gossip.Process{Addr: boot.Inner(), Name: boot.Name, Kind: kind, Zone: boot.Zone, Region: boot.Region, Control: boot.Control}
+	n.kin = member.New(n.now(), member.Usual(orphans, council), n.self, boot.SeedPeers(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.kin.Took = n.noted
 	n.book = n.kin.Book()
 	return n
@@ -78,7 +78,7 @@
 func (n *Node) now() int64 { return time.Since(n.start).Microseconds() }
 
 // noted is told of all news that was taken. Under mu.
-func (n *Node) noted(i rumour.Item) {
+func (n *Node) noted(i gossip.Item) {
 	if n.took != nil {
 		n.took(i)
 	}
@@ -91,10 +91,10 @@
 }
 
 // put takes news of this process's own or of its proxy. Under mu.
-func (n *Node) put(i rumour.Item) { n.kin.Put(n.now(), i) }
+func (n *Node) put(i gossip.Item) { n.kin.Put(n.now(), i) }
 
 // Put takes news of this process's own.
-func (n *Node) Put(items ...rumour.Item) {
+func (n *Node) Put(items ...gossip.Item) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, i := range items {
@@ -104,12 +104,12 @@
 
 // Serve answers the other processes.
 func (n *Node) Serve(mux *http.ServeMux) {
-	passCall.On(mux, func(_ context.Context, _ calls.Named, p rumour.Pass) (rumour.Passed, error) {
+	passCall.On(mux, func(_ context.Context, _ rpc.Named, p gossip.Pass) (gossip.Passed, error) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		return n.kin.Got(n.now(), p), nil
 	})
-	afterCall.On(mux, func(ctx context.Context, _ calls.Named, a After) (Heard, error) {
+	afterCall.On(mux, func(ctx context.Context, _ rpc.Named, a After) (Heard, error) {
 		n.mu.Lock()
 		hears, try := n.kin.Hears(n.now(), a.About)
 		n.mu.Unlock()
@@ -124,14 +124,14 @@
 }
 
 // Peers are the other processes, of a kind or of any.
-func (n *Node) Peers(kind string) []rumour.Process {
+func (n *Node) Peers(kind string) []gossip.Process {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.kin.Peers(kind)
 }
 
 // awake leaves out the peers that did not answer lately.
-func (n *Node) awake(list []rumour.Process) (out []rumour.Process) {
+func (n *Node) awake(list []gossip.Process) (out []gossip.Process) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
@@ -180,16 +180,16 @@
 	out := n.kin.Take()
 	for _, x := range out.Noted {
 		switch x.What {
-		case kin.Joined:
+		case member.Joined:
 			events.Joined.Log("peers", len(n.kin.Peers("")))
-		case kin.Dead:
+		case member.Dead:
 			events.ProcessDead.Log("process", x.Process)
-		case kin.Gone:
+		case member.Gone:
 			events.ProcessGone.Log("process", x.Process)
-		case kin.DutyTaken:
-			events.DutyTaken.Log("duty", x.Duty, "epoch", turn.Number(x.Epoch))
-		case kin.DutyLost:
-			events.DutyLost.Log("duty", x.Duty, "epoch", turn.Number(x.Epoch), "to", x.Process)
+		case member.DutyTaken:
+			events.DutyTaken.Log("duty", x.Duty, "epoch", lease.Number(x.Epoch))
+		case member.DutyLost:
+			events.DutyLost.Log("duty", x.Duty, "epoch", lease.Number(x.Epoch), "to", x.Process)
 		}
 	}
 	n.calls.Add(len(out.Ask) + len(out.Orders))
@@ -202,7 +202,7 @@
 }
 
 // ask carries a question of the ring.
-func (n *Node) ask(ctx context.Context, q ring.Question) {
+func (n *Node) ask(ctx context.Context, q failuredetector.Question) {
 	defer n.calls.Done()
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
@@ -213,7 +213,7 @@
 }
 
 // pass carries news.
-func (n *Node) pass(ctx context.Context, o rumour.Order) {
+func (n *Node) pass(ctx context.Context, o gossip.Order) {
 	defer n.calls.Done()
 	span := callTime
 	if len(o.Pass.News)+len(o.Pass.Ask) > 0 {
--- a/internal/weave/role/show.go
+++ b/internal/node/role/show.go
@@ -13,12 +13,12 @@
 
 	"context"
 
-	"saddleport/internal/fabric/chain"
-	"saddleport/internal/fabric/helm"
-	"saddleport/internal/fabric/roster"
-	"saddleport/internal/fabric/rumour"
-	"saddleport/internal/fabric/turn"
-	"saddleport/internal/weave/calls"
+	"saddleport/internal/cluster/chain"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/lease"
+	"saddleport/internal/cluster/registry"
+	"saddleport/internal/cluster/replica"
+	"saddleport/internal/node/rpc"
 )
 
 // Table is one part of what a running process shows.
@@ -38,7 +38,7 @@
 
 // ShowCall asks a running process what it holds. It listens where only its own machine or
 // other processes of the system can reach it.
-var ShowCall = calls.Declare[calls.Raw, Shown]("GET", "/Show", mostCall, "`show`, on the same machine or from a core machine")
+var ShowCall = rpc.Declare[rpc.Raw, Shown]("GET", "/Show", mostCall, "`show`, on the same machine or from a core machine")
 
 // ShowAt is where a program answers that.
 func ShowAt(program string, b *Boot) string {
@@ -73,30 +73,30 @@
 }
 
 func onShow(mux *http.ServeMux, program, name string, start time.Time, tables func(context.Context) ([]Table, error)) {
-	ShowCall.On(mux, func(ctx context.Context, _ calls.Named, _ calls.Raw) (Shown, error) {
+	ShowCall.On(mux, func(ctx context.Context, _ rpc.Named, _ rpc.Raw) (Shown, error) {
 		t, err := tables(ctx)
 		return Shown{Program: program, Name: name, Up: time.Since(start).Round(time.Millisecond).String(), Tables: t}, err
 	})
 }
 
 // newsTables are what a node holds of the news. Under mu.
-func newsTables(book *rumour.Book) []Table {
+func newsTables(book *gossip.Book) []Table {
 	servers := Table{Title: "servers", Head: []string{"service", "server", "address", "zone", "state", "heard by"}}
 	left := 0
 	others := Table{Title: "processes", Head: []string{"name", "kind", "address", "zone"}}
 	version := Table{Title: "configuration", Head: []string{"version", "bytes"}}
-	book.All(func(i rumour.Item) {
+	book.All(func(i gossip.Item) {
 		switch {
-		case strings.HasPrefix(i.Key, roster.Prefix):
-			if s, err := roster.Parse(i); i.Gone() {
+		case strings.HasPrefix(i.Key, registry.Prefix):
+			if s, err := registry.Parse(i); i.Gone() {
 				left++
 			} else if err == nil {
 				servers.Rows = append(servers.Rows, []string{s.Service, s.ID, s.Addr, s.Zone, s.State.String(), s.By})
 			}
-		case strings.HasPrefix(i.Key, rumour.Processes):
-			var p rumour.Process
+		case strings.HasPrefix(i.Key, gossip.Processes):
+			var p gossip.Process
 			if json.Unmarshal(i.Body, &p) == nil {
-				others.Rows = append(others.Rows, []string{p.Name, p.Kind, strings.TrimPrefix(i.Key, rumour.Processes), p.Zone})
+				others.Rows = append(others.Rows, []string{p.Name, p.Kind, strings.TrimPrefix(i.Key, gossip.Processes), p.Zone})
 			}
 		case i.Key == charterAt:
 			version.Rows = append(version.Rows, []string{fmt.Sprint(chain.Version(i.Rank)), fmt.Sprint(len(i.Body))})
@@ -126,7 +126,7 @@
 	for _, d := range n.kin.Duties() {
 		if c, known := n.kin.Holder(d.Name); known {
 			_, mine := n.kin.Holds(d.Name)
-			duties.Rows = append(duties.Rows, []string{d.Name, c.Holder, fmt.Sprint(turn.Number(c.Epoch)), []string{"", "this one"}[bit(mine)]})
+			duties.Rows = append(duties.Rows, []string{d.Name, c.Holder, fmt.Sprint(lease.Number(c.Epoch)), []string{"", "this one"}[bit(mine)]})
 		}
 	}
 	swept := n.kin.Swept()
@@ -157,7 +157,7 @@
 	return append(append(core, here), news...), err
 }
 
-func coreTables(h *helm.Machine, now int64) []Table {
+func coreTables(h *replica.Machine, now int64) []Table {
 	v := h.Pact.View
 	how := h.Pact.Describe(now)
 	view := Table{Title: fmt.Sprintf("view of epoch %d", v.Epoch), Head: []string{"member", "in the chain", "how it is"}}
--- a/internal/weave/role/tide.go
+++ b/internal/node/role/tide.go
@@ -11,17 +11,17 @@
 
 	"saddleport/choice"
 	"saddleport/internal/back/reach"
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/quota"
+	"saddleport/internal/cluster/registry"
+	"saddleport/internal/cluster/routeconfig"
 	"saddleport/internal/exchange"
-	"saddleport/internal/fabric/charter"
-	"saddleport/internal/fabric/purse"
-	"saddleport/internal/fabric/roster"
-	"saddleport/internal/fabric/rumour"
 	"saddleport/internal/front"
 	"saddleport/internal/front/gate"
+	"saddleport/internal/node/events"
+	"saddleport/internal/node/rpc"
+	"saddleport/internal/node/transport"
 	"saddleport/internal/settings"
-	"saddleport/internal/weave/calls"
-	"saddleport/internal/weave/events"
-	"saddleport/internal/weave/link"
 )
 
 const (
@@ -51,14 +51,14 @@
 	back    *reach.Back
 	gate    *gate.Gate
 	front   *front.Front
-	client  *calls.Client
+	client  *rpc.Client
 	numbers gate.Shards
 	start   time.Time
 	servers atomic.Int64
 
 	mu      sync.Mutex // the goroutine that follows the agent writes; show reads
-	book    *rumour.Book
-	purse   *purse.Purse
+	book    *gossip.Book
+	purse   *quota.Purse
 	routers int
 	spare   float64
 	flock   *flock
@@ -86,9 +86,9 @@
 		return err
 	}
 	leaves := (boot.Files - spareFiles) / leafShare
-	t := &tide{boot: boot, x: x, client: calls.NewClient(time.Second), book: rumour.NewBook(), start: time.Now(),
+	t := &tide{boot: boot, x: x, client: rpc.NewClient(time.Second), book: gossip.NewBook(), start: time.Now(),
 		gate: &gate.Gate{Exchange: x}, back: reach.New(reach.Config{Exchange: x, MaxConns: leaves}), conns: make(map[string]int)}
-	t.purse = purse.New(0, purse.Config{Whole: boot.Bounds.RetrySlack, Window: boot.Bounds.RetryWindow.Microseconds(), Least: leastRouters, Fresh: boot.Bootstrap})
+	t.purse = quota.New(0, quota.Config{Whole: boot.Bounds.RetrySlack, Window: boot.Bounds.RetryWindow.Microseconds(), Least: leastRouters, Fresh: boot.Bootstrap})
 	clients := boot.Files - spareFiles - leaves
 	t.flock, t.clerk = newFlock(t), newClerk(t)
 	t.gate.Allow = t.clerk.allow
@@ -96,14 +96,14 @@
 	if !from.Alike {
 		x.Heard, lanes.Saw = t.flock.heard, t.flock.took
 	}
-	f := front.New(front.Config{Exchange: x, Protocol: t.gate, MaxClients: clients, Pace: gate.Pace(charter.Usual), Lanes: lanes})
+	f := front.New(front.Config{Exchange: x, Protocol: t.gate, MaxClients: clients, Pace: gate.Pace(routeconfig.Usual), Lanes: lanes})
 	t.front = f
-	ln, err := link.Listen(ctx, boot.Front)
+	ln, err := transport.Listen(ctx, boot.Front)
 	if err != nil {
 		return err
 	}
-	link.Bounded(ln, unreadBytes)
-	lnReady, err := link.Listen(ctx, boot.Ready)
+	transport.Bounded(ln, unreadBytes)
+	lnReady, err := transport.Listen(ctx, boot.Ready)
 	if err != nil {
 		return err
 	}
@@ -128,7 +128,7 @@
 		go t.flock.run(life)
 	}
 	go from.Watch(life)
-	lnShow, err := link.Listen(ctx, ShowAt("tide", boot))
+	lnShow, err := transport.Listen(ctx, ShowAt("tide", boot))
 	if err != nil {
 		return err
 	}
@@ -136,8 +136,8 @@
 	onShow(shown, "tide", boot.Name, t.start, t.tables)
 	onExplain(shown, "tide", boot.Name, t.start, t.explain)
 	failed := make(chan error, 3)
-	go func() { failed <- calls.Serve(life, lnShow, shown, 0) }()
-	go func() { failed <- calls.Serve(life, lnReady, mux, 0) }()
+	go func() { failed <- rpc.Serve(life, lnShow, shown, 0) }()
+	go func() { failed <- rpc.Serve(life, lnReady, mux, 0) }()
 	go func() {
 		if err := f.Serve(ln); err != nil {
 			failed <- err
@@ -217,12 +217,12 @@
 }
 
 // take puts news in force. anew: it is all that an agent knows that has started anew.
-func (t *tide) take(items []rumour.Item, anew bool) {
+func (t *tide) take(items []gossip.Item, anew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if anew {
 		t.doubtful, t.doubtAt = make(map[string]bool), time.Now().Add(doubtTime)
-		t.book.Each(func(i rumour.Item, _ int64) { t.doubtful[i.Key] = i.Key != charterAt })
+		t.book.Each(func(i gossip.Item, _ int64) { t.doubtful[i.Key] = i.Key != charterAt })
 	}
 	for _, i := range items {
 		delete(t.doubtful, i.Key)
@@ -238,10 +238,10 @@
 	if len(t.doubtful) == 0 || time.Now().Before(t.doubtAt) {
 		return
 	}
-	var gone []rumour.Item
+	var gone []gossip.Item
 	for key, is := range t.doubtful {
 		if held, known := t.book.Get(key); known && is && !held.Gone() {
-			gone = append(gone, rumour.Item{Key: key, Rank: held.Rank + 1})
+			gone = append(gone, gossip.Item{Key: key, Rank: held.Rank + 1})
 		}
 	}
 	t.doubtful = nil
@@ -252,7 +252,7 @@
 }
 
 // news puts news in force. Under mu.
-func (t *tide) news(items []rumour.Item) {
+func (t *tide) news(items []gossip.Item) {
 	list := choice.List{Form: choice.Delta}
 	var told []reach.Server
 	now := time.Since(t.start).Microseconds()
@@ -265,7 +265,7 @@
 			t.charter(i)
 		case i.Key == groupsAt:
 			t.flock.told(i)
-		case strings.HasPrefix(i.Key, roster.Prefix):
+		case strings.HasPrefix(i.Key, registry.Prefix):
 			row, s, ok := t.server(i)
 			if ok {
 				list.Servers = append(list.Servers, row)
@@ -282,8 +282,8 @@
 	}
 }
 
-func (t *tide) charter(i rumour.Item) {
-	c, err := charter.Read(i.Body)
+func (t *tide) charter(i gossip.Item) {
+	c, err := routeconfig.Read(i.Body)
 	var p *gate.Plan
 	if err == nil {
 		p, err = gate.NewPlan(c, &t.numbers)
@@ -302,8 +302,8 @@
 	events.InForce.Log("version", c.Revision, "routes", len(c.Routes), "services", len(c.Services), "classes", len(p.Classes))
 }
 
-func (t *tide) server(i rumour.Item) (choice.Server, reach.Server, bool) {
-	s, err := roster.Parse(i)
+func (t *tide) server(i gossip.Item) (choice.Server, reach.Server, bool) {
+	s, err := registry.Parse(i)
 	if err != nil {
 		return choice.Server{}, reach.Server{}, false
 	}
@@ -320,9 +320,9 @@
 	t.flock.place(s.ID, s.Service, row.Far, false)
 	row.Slow = t.flock.slow(s.ID)
 	switch s.State {
-	case roster.Available:
+	case registry.Available:
 		row.State = choice.Ready
-	case roster.Draining:
+	case registry.Draining:
 		row.State = choice.Draining
 	}
 	most := 0
@@ -347,12 +347,12 @@
 // tier tells the decisions how many proxies there are, and counts servers.
 func (t *tide) tier() {
 	routers, servers := 0, int64(0)
-	t.book.All(func(i rumour.Item) {
+	t.book.All(func(i gossip.Item) {
 		switch {
 		case i.Gone():
-		case strings.HasPrefix(i.Key, roster.Prefix):
+		case strings.HasPrefix(i.Key, registry.Prefix):
 			servers++
-		case strings.HasPrefix(i.Key, rumour.Processes) && strings.Contains(string(i.Body), `"k":"echo"`):
+		case strings.HasPrefix(i.Key, gossip.Processes) && strings.Contains(string(i.Body), `"k":"echo"`):
 			routers++
 		}
 	})
--- a/internal/weave/role/told.go
+++ b/internal/node/role/told.go
@@ -8,17 +8,17 @@
 	"strings"
 	"time"
 
-	"saddleport/internal/fabric/herd"
-	"saddleport/internal/fabric/roster"
-	"saddleport/internal/fabric/turn"
-	"saddleport/internal/weave/calls"
+	"saddleport/internal/cluster/lease"
+	"saddleport/internal/cluster/outlier"
+	"saddleport/internal/cluster/registry"
+	"saddleport/internal/node/rpc"
 )
 
 // ExplainCall asks a running process what it knows of one server or caller.
-var ExplainCall = calls.Declare[calls.Raw, Shown]("GET", "/Explain/{name}", mostCall, "`explain`, on the same machine or from a core machine")
+var ExplainCall = rpc.Declare[rpc.Raw, Shown]("GET", "/Explain/{name}", mostCall, "`explain`, on the same machine or from a core machine")
 
 func onExplain(mux *http.ServeMux, program, name string, start time.Time, tables func(about string) ([]Table, error)) {
-	ExplainCall.On(mux, func(_ context.Context, who calls.Named, _ calls.Raw) (Shown, error) {
+	ExplainCall.On(mux, func(_ context.Context, who rpc.Named, _ rpc.Raw) (Shown, error) {
 		t, err := tables(who.Name)
 		return Shown{Program: program, Name: name, Up: time.Since(start).Round(time.Millisecond).String(), Tables: t}, err
 	})
@@ -28,7 +28,7 @@
 	return time.Duration(us * int64(time.Microsecond)).Round(100 * time.Millisecond).String()
 }
 
-func evidence(a herd.Apart) string {
+func evidence(a outlier.Apart) string {
 	if a.Alone {
 		return "this mixer alone"
 	}
@@ -45,7 +45,7 @@
 		t.Rows = append(t.Rows, []string{a.Name, a.Shard, fmt.Sprintf("%.1f", a.Ratio), ago(now - a.Since), evidence(a)})
 	}
 	said, counts := f.groups.Said(now)
-	council := "not heard of for over " + time.Duration(herd.Usual.Lease*1000).String() + ": own evidence alone counts"
+	council := "not heard of for over " + time.Duration(outlier.Usual.Lease*1000).String() + ": own evidence alone counts"
 	if counts {
 		council = said.By
 	}
@@ -59,7 +59,7 @@
 // explain tells what a proxy knows of one server or caller.
 func (t *tide) explain(about string) ([]Table, error) {
 	t.mu.Lock()
-	i, listed := t.book.Get(roster.Prefix + about)
+	i, listed := t.book.Get(registry.Prefix + about)
 	t.mu.Unlock()
 	f := t.flock
 	f.mu.Lock()
@@ -71,7 +71,7 @@
 	}
 	own, seen := watch.Of(now, name)
 	if !seen && !listed {
-		return nil, calls.Fail(http.StatusNotFound, "%s: no server or caller that was heard of here", about)
+		return nil, rpc.Fail(http.StatusNotFound, "%s: no server or caller that was heard of here", about)
 	}
 	is := "prompt"
 	switch ratio := f.groups.Ratio(name); {
@@ -83,7 +83,7 @@
 	what := Table{Title: name, Head: []string{"is", "shard", "last samples", "times its peers' middle", "score", "doubted for"},
 		Rows: [][]string{{is, own.Shard, fmt.Sprint(own.Samples), fmt.Sprintf("%.1f", own.Middle), fmt.Sprintf("%.1f", own.Score), ago(own.Doubted)}}}
 	rule := Table{Title: "by which rule", Rows: [][]string{{fmt.Sprintf("doubtful here from score %g; set apart from %g of all mixers together, or alone from %g after %s",
-		herd.Usual.Doubt, herd.Usual.Agree, herd.Usual.Agree*herd.Usual.Careful, ago(herd.Usual.Alone))}}}
+		outlier.Usual.Doubt, outlier.Usual.Agree, outlier.Usual.Agree*outlier.Usual.Careful, ago(outlier.Usual.Alone))}}}
 	out := []Table{what, rule}
 	for _, a := range f.groups.All() {
 		if a.Name == name {
@@ -92,7 +92,7 @@
 		}
 	}
 	if listed {
-		if s, err := roster.Parse(i); err == nil {
+		if s, err := registry.Parse(i); err == nil {
 			out = append(out, Table{Title: "as it is listed", Head: []string{"service", "address", "zone", "state", "heard by"},
 				Rows: [][]string{{s.Service, s.Addr, s.Zone, s.State.String(), s.By}}})
 		}
@@ -107,7 +107,7 @@
 	if net.ParseIP(about) != nil {
 		about = callerName + about
 	}
-	c, known := b.n.kin.Holder(herd.Duty)
+	c, known := b.n.kin.Holder(outlier.Duty)
 	if words, held := b.seat.Words(b.n.now(), about); held {
 		t := Table{Title: "evidence on " + about, Head: []string{"mixer", "told", "samples", "times its peers' middle", "score"}}
 		for _, w := range words {
@@ -116,9 +116,9 @@
 		return []Table{t}, nil
 	}
 	if !known {
-		return nil, calls.Fail(http.StatusServiceUnavailable, "nobody is known to hold the council")
+		return nil, rpc.Fail(http.StatusServiceUnavailable, "nobody is known to hold the council")
 	}
-	return []Table{{Title: "the council is held by", Head: []string{"agent", "epoch"}, Rows: [][]string{{c.Holder, fmt.Sprint(turn.Number(c.Epoch))}}}}, nil
+	return []Table{{Title: "the council is held by", Head: []string{"agent", "epoch"}, Rows: [][]string{{c.Holder, fmt.Sprint(lease.Number(c.Epoch))}}}}, nil
 }
 
 // tables are the node's and who is set apart.
@@ -137,6 +137,6 @@
 		by = "nobody yet"
 	}
 	moves := Table{Title: "groups: state", Head: []string{"by", "under epoch", "word", "asked for", "set apart here", "brought back here"},
-		Rows: [][]string{{by, fmt.Sprint(turn.Number(a.Epoch)), fmt.Sprint(a.Seq), fmt.Sprint(len(a.Asked)), fmt.Sprint(apart), fmt.Sprint(back)}}}
+		Rows: [][]string{{by, fmt.Sprint(lease.Number(a.Epoch)), fmt.Sprint(a.Seq), fmt.Sprint(len(a.Asked)), fmt.Sprint(apart), fmt.Sprint(back)}}}
 	return append(out, t, moves, b.vault.table()), err
 }
--- a/internal/weave/calls/calls.go
+++ b/internal/node/rpc/rpc.go
@@ -1,8 +1,8 @@
-// Package calls is the one generic handler between processes: a call and its answer are a
+// Package rpc is the one generic handler between processes: a call and its answer are a
 // pair of types, carried as JSON over HTTP/1.1. It owns the sizes, the deadlines and the
 // statuses of calls. It must never take a body over its bound, wait without a deadline, or
 // know what a call means.
-package calls
+package rpc
 
 import (
 	"bytes"
@@ -20,7 +20,7 @@
 
 	"github.com/zeebo/errs"
 
-	"saddleport/internal/weave/link"
+	"saddleport/internal/node/transport"
 )
 
 // Error is the class of failed calls.
@@ -215,7 +215,7 @@
 // NewClient returns a client that dials within a time.
 func NewClient(dial time.Duration) *Client {
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{DialContext: link.Dialer(dial).DialContext, MaxIdleConns: 64, MaxIdleConnsPerHost: 2,
+		Transport: &http.Transport{DialContext: transport.Dialer(dial).DialContext, MaxIdleConns: 64, MaxIdleConnsPerHost: 2,
 			MaxConnsPerHost: 8, IdleConnTimeout: idleTime / 2, DisableCompression: true, WriteBufferSize: 4 << 10,
 			ReadBufferSize: 4 << 10, ResponseHeaderTimeout: 10 * time.Second},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/weave/calls/calls_test.go
+++ b/internal/node/rpc/rpc_test.go
@@ -1,4 +1,4 @@
-package calls
+package rpc
 
 import (
 	"bytes"
--- a/internal/weave/store/store.go
+++ b/internal/node/storage/storage.go
@@ -1,7 +1,7 @@
-// Package store keeps a core machine's state on disk, in goleveldb. Every write is synced
+// Package storage keeps a core machine's state on disk, in goleveldb. Every write is synced
 // before it returns: all that is kept here is what a promise rests on. It must never tell
 // a damaged store as an empty one, grow without a bound, or return before the disk has it.
-package store
+package storage
 
 import (
 	"os"
--- a/internal/weave/store/store_test.go
+++ b/internal/node/storage/storage_test.go
@@ -1,4 +1,4 @@
-package store
+package storage
 
 import (
 	"bytes"
--- a/internal/weave/link/link.go
+++ b/internal/node/transport/transport.go
@@ -1,7 +1,7 @@
-// Package link is TCP between the system's processes and to its servers: connections
+// Package transport is TCP between the system's processes and to its servers: connections
 // whose peer may fall silent without a word. It owns their time-outs at the kernel. It
 // must never wait for a peer without a bound.
-package link
+package transport
 
 import (
 	"context"
