--- a/cmd/lens/main.go
+++ b/cmd/lens/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"saddleport/internal/lab/answers"
 	"saddleport/internal/lab/measure"
 	"saddleport/internal/lab/modelcheck"
 	"saddleport/internal/lab/yard"
@@ -14,7 +15,7 @@
 func main() {
 	lens := cli.Lens()
 	measure := measure.Command()
-	measure.AddCommand(yard.Command())
+	measure.AddCommand(yard.Command(), answers.Command())
 	lens.AddCommand(modelcheck.Command(), measure)
 	if err := lens.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lens:", err)
--- a/internal/back/reach/answer.go
+++ b/internal/back/reach/answer.go
@@ -25,13 +25,16 @@
 // Only an answer that says so proves that a request did not run. A success counts only
 // with its stamp, under the id of the request, and unencoded.
 func judge(p *httpwire.Response, id string, gather bool) (choice.Verdict, string) {
+	own := p.Header.Get(headID) == id
+	if !own { // an answer that does not name the request says nothing of it, not even that it failed
+		return choice.ServerError, ""
+	}
 	if p.Header.Get(headNot) != "" || p.Status == 421 {
 		return choice.TurnedAway, ""
 	}
 	stamp := p.Header.Get(headStamp)
-	own := p.Header.Get(headID) == id
 	if p.Status >= 200 && p.Status < 300 {
-		if stamp == "" || !own || p.Header.Get("Content-Encoding") != "" {
+		if stamp == "" || p.Header.Get("Content-Encoding") != "" {
 			return choice.ServerError, ""
 		}
 		if gather {
@@ -46,7 +49,7 @@
 	case 408, 429, 503: // to the client these would promise that it did not run
 		return choice.ServerError, ""
 	}
-	if p.Status >= 400 && p.Status < 500 && own {
+	if p.Status >= 400 && p.Status < 500 {
 		return choice.Served, forward(p) // the server's word on the request
 	}
 	return choice.ServerError, forward(p)
--- a/internal/back/reach/reach.go
+++ b/internal/back/reach/reach.go
@@ -6,6 +6,7 @@
 package reach
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -27,6 +28,7 @@
 	writeTime    = 500 * time.Millisecond // a write that takes longer ends its connection
 	directWrite  = 8 << 10                // bytes that an idle connection is sure to take at once
 	staleTime    = 2 * time.Second        // so long may an answer to a part given up hold its connection
+	abandonTime  = 250 * time.Millisecond // so long a server may still answer a client that has left
 	idleTime     = 30 * time.Second       // a connection that rests longer is closed
 	onceRest     = 3 * time.Second        // a request that can't be repeated takes no connection that rested longer
 	idleMargin   = 700 * time.Millisecond // before the time that its server states
@@ -41,6 +43,14 @@
 type Config struct {
 	Exchange *exchange.Exchange
 	MaxConns int // connections at once to all servers
+	Breaks   Breaks
+}
+
+// Breaks leaves rules out on purpose, so that a checker can show that it finds each.
+type Breaks struct {
+	AnyID        bool // an answer is taken for the request that waits, whatever it names
+	LostIsUnsent bool // a reset or a close counts as proof that a request has not run
+	ReuseEarly   bool // a connection is used again though a request is not yet written whole
 }
 
 // Server is what is told of a server.
@@ -85,6 +95,7 @@
 	r       *httpwire.Reader
 	call    *call     // whose answer is awaited; nil: none is, or its part was not answered in time
 	busy    bool      // an answer is awaited
+	writing bool      // the request is not yet written whole
 	gather  bool      // of the request that is out
 	method  string    // the same
 	id      string    // the same
@@ -180,6 +191,9 @@
 	}
 	if v == choice.CalledOff && k.c != nil {
 		k.off = true
+		if a.Abandoned() && !a.Once() {
+			time.AfterFunc(abandonTime, func() { b.abandon(k) })
+		}
 		return
 	}
 	if k.c == nil && v == choice.NoAnswer { // it was never sent, so it never ran
@@ -188,6 +202,16 @@
 	b.finish(k, v, nil, "")
 }
 
+// abandon closes the connection of an attempt whose client has left and which has not been
+// answered since: the server need not work on.
+func (b *Back) abandon(k *call) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !k.done && k.c.call == k {
+		k.c.end(choice.CalledOff)
+	}
+}
+
 // Probe implements exchange.Leaves: the decisions send none here.
 func (b *Back) Probe(name string) { b.Exchange.Probed(name, 0, choice.NotSent, nil) }
 
@@ -354,23 +378,31 @@
 	k.c, c.call, c.busy, c.sentAt, c.gather = c, k, true, now, a.Gather()
 	c.method, _, _ = strings.Cut(a.Text[:at], " ")
 	c.id = a.QueryID()
+	head := bytes.Index(buf, []byte("\r\n\r\n")) + 4
 	c.nc.SetWriteDeadline(now.Add(writeTime))
 	if len(buf) <= directWrite {
-		c.wrote(c.nc.Write(buf))
+		n, err := c.nc.Write(buf)
+		c.wrote(n >= head, err)
 		return
 	}
+	c.writing = true
 	go func() {
 		n, err := c.nc.Write(buf)
 		c.b.mu.Lock()
 		defer c.b.mu.Unlock()
-		c.wrote(n, err)
+		c.writing = false
+		c.wrote(n >= head, err)
 	}()
 }
 
-// wrote ends a connection that could not take a request whole: its server never had it
-// whole, so it never ran.
-func (c *conn) wrote(_ int, err error) {
-	if err != nil {
+// wrote ends a connection that could not take a request whole. Without its whole head the
+// server can't have run it; with it, nothing is known.
+func (c *conn) wrote(head bool, err error) {
+	switch {
+	case err == nil:
+	case head:
+		c.end(choice.ConnectionLost)
+	default:
 		c.end(choice.NoConnection)
 	}
 }
@@ -389,6 +421,9 @@
 	if c.call != nil {
 		if v == choice.ConnectionLost {
 			b.Exchange.Counters.Resets.Add(1)
+			if b.Breaks.LostIsUnsent {
+				v = choice.NoConnection
+			}
 		}
 		b.finish(c.call, v, nil, "")
 	}
@@ -441,7 +476,7 @@
 			return
 		}
 		if err == nil && stray < mostStray {
-			if id := p.Header.Get(headID); id != "" && id != c.id {
+			if id := p.Header.Get(headID); id != "" && id != c.id && !c.b.Breaks.AnyID {
 				// A second answer to an earlier request, in the place of this one's, which
 				// may still follow. It belongs to nobody.
 				stray++
@@ -451,7 +486,9 @@
 				continue
 			}
 		}
-		keep := err == nil && p.KeepAlive && c.r.Buffered() == 0
+		// An answer may come before the request is written whole: what another one wrote would
+		// then stand where the rest of its body is due.
+		keep := err == nil && p.KeepAlive && c.r.Buffered() == 0 && (!c.writing || c.b.Breaks.ReuseEarly)
 		v, value := choice.ServerError, ""
 		var load []choice.Reading
 		switch {
@@ -463,7 +500,11 @@
 			}
 		default:
 			c.until = lasts(p, time.Now())
-			v, value = judge(p, c.id, c.gather)
+			id := c.id
+			if c.b.Breaks.AnyID {
+				id = p.Header.Get(headID)
+			}
+			v, value = judge(p, id, c.gather)
 			load = report(p.Header.Get(headLoad))
 		}
 		if c.call != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -116,6 +116,10 @@
 // Gather tells whether the query that an attempt is for has several parts.
 func (a *Attempt) Gather() bool { return a.part.q.Gather }
 
+// Abandoned tells whether the client of the attempt's query has left. It is for the
+// goroutine that hands attempts to the client side.
+func (a *Attempt) Abandoned() bool { return a.part.q.abandoned }
+
 // Once tells whether the query that an attempt is for may not be repeated.
 func (a *Attempt) Once() bool { return a.part.q.Once }
 
@@ -164,14 +168,15 @@
 
 type held struct {
 	*Query
-	parts    []*part
-	class    string // as hooks may have rewritten it
-	deadline time.Time
-	alarm    *timer
-	ended    bool
-	watched  *watched // nil: no hook watches it
-	placed   *placed  // nil: it is not routed by a map
-	eased    *eased   // nil: there are no levels
+	parts     []*part
+	abandoned bool   // its client has left
+	class     string // as hooks may have rewritten it
+	deadline  time.Time
+	alarm     *timer
+	ended     bool
+	watched   *watched // nil: no hook watches it
+	placed    *placed  // nil: it is not routed by a map
+	eased     *eased   // nil: there are no levels
 }
 
 type timer struct {
@@ -343,6 +348,7 @@
 func (x *Exchange) Left(q *Query) {
 	x.post(func() {
 		if h := x.queries[q.ID]; h != nil && h.Query == q {
+			h.abandoned = true
 			x.withdraw(h)
 			x.end(h, Final{Ending: Gone})
 		}
@@ -485,9 +491,10 @@
 	}
 	if repeated {
 		// A second query of an id that is held, or whose parts are still out, would
-		// share its parts' ids: it is no new query, and nothing may go out twice.
+		// share its parts' ids: it is no new query, and nothing may go out twice. Of the
+		// id it can't be said that it has not run.
 		x.Counters.Repeated.Add(1)
-		x.final(q, Final{Ending: Failed})
+		x.final(q, Final{Ending: Failed, Ran: true})
 		return
 	}
 	if x.set.MostHeld > 0 && len(x.queries)+len(x.parts) >= x.set.MostHeld {
@@ -504,7 +511,7 @@
 	for _, p := range h.parts {
 		if x.parts[p.id] != nil { // by the map's names it is one that is still out
 			x.Counters.Repeated.Add(1)
-			x.final(q, Final{Ending: Failed})
+			x.final(q, Final{Ending: Failed, Ran: true})
 			return
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,8 +62,11 @@
 // Front is the server side.
 type Front struct {
 	Config
-	stopping atomic.Bool // not ready
-	closing  atomic.Bool // each answer ends its connection
+	stopping atomic.Bool   // not ready
+	closing  atomic.Bool   // each answer ends its connection
+	refusing atomic.Bool   // no further request is taken
+	cut      chan struct{} // closed when what is in hand is to end at once
+	cutOnce  sync.Once
 	pace     atomic.Pointer[Pace]
 
 	mu     sync.Mutex
@@ -88,7 +91,7 @@
 
 // New returns a server side.
 func New(cfg Config) *Front {
-	f := &Front{Config: cfg, conns: make(map[*Conn]struct{}), room: make(chan struct{}, cfg.MaxClients)}
+	f := &Front{Config: cfg, conns: make(map[*Conn]struct{}), room: make(chan struct{}, cfg.MaxClients), cut: make(chan struct{})}
 	f.SetPace(cfg.Pace)
 	return f
 }
@@ -199,6 +202,16 @@
 // Close has each answer tell its client that the connection ends.
 func (f *Front) Close() { f.closing.Store(true) }
 
+// Refuse has each request that is read from now on turned away: it might not be finished
+// any more.
+func (f *Front) Refuse() {
+	f.closing.Store(true)
+	f.refusing.Store(true)
+}
+
+// CutShort ends what is in hand: its clients are answered as if its time were up.
+func (f *Front) CutShort() { f.cutOnce.Do(func() { close(f.cut) }) }
+
 // Clients counts the connections of clients.
 func (f *Front) Clients() int {
 	f.mu.Lock()
@@ -355,6 +368,9 @@
 // Stopping tells whether the mixer is on its way out.
 func (c *Conn) Stopping() bool { return c.f.stopping.Load() }
 
+// Refusing tells whether no further request is taken.
+func (c *Conn) Refusing() bool { return c.f.refusing.Load() }
+
 // Active notes that a query has come, readable or not.
 func (c *Conn) Active(at time.Time) {
 	c.f.mu.Lock()
@@ -369,8 +385,8 @@
 	c.queried = true
 }
 
-// Exchange hands a query in and waits for its end or the client's. A client's
-// next request may come meanwhile; it is left unread until this one is answered.
+// Exchange hands a query in and waits for its end, the client's, or the process's. A
+// client's next request may come meanwhile; it is left unread until this one is answered.
 func (c *Conn) Exchange(q *exchange.Query, keep bool, answer func(f exchange.Final, keep bool) bool) bool {
 	final := make(chan exchange.Final, 1)
 	q.Done = func(f exchange.Final) { final <- f }
@@ -378,17 +394,7 @@
 	next := make(chan error, 1)
 	c.f.Exchange.Take(q)
 	go func() { next <- c.r.Await() }()
-	var f exchange.Final
-	gone := false
-	select {
-	case f = <-final:
-	case err := <-next:
-		next <- nil
-		if gone = err != nil; gone {
-			c.f.Exchange.Left(q)
-		}
-		f = <-final
-	}
+	f, gone := c.await(q, final, next)
 	keep = keep && !c.f.closing.Load() && !c.f.Lanes.crowded(c)
 	if gone || !answer(f, keep) || !keep {
 		c.nc.SetReadDeadline(time.Now()) // frees the goroutine that waits for a request
@@ -398,3 +404,27 @@
 	c.Rest()
 	return <-next == nil
 }
+
+// await waits for a query's end, and tells whether its client has gone before.
+func (c *Conn) await(q *exchange.Query, final chan exchange.Final, next chan error) (f exchange.Final, gone bool) {
+	cut := c.f.cut
+	for {
+		select {
+		case f = <-final:
+			return f, false
+		case err := <-next:
+			next <- nil
+			if err != nil {
+				c.f.Exchange.Left(q)
+				return <-final, true
+			}
+			next = nil // the next request is there, and waits
+		case <-cut:
+			c.f.Exchange.Left(q)
+			if f = <-final; f.Ending == exchange.Gone {
+				f.Ending = exchange.Expired
+			}
+			return f, false
+		}
+	}
+}
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -31,6 +31,7 @@
 	maxID        = 200
 	recordBytes  = 16
 	lateRetry    = 250 * time.Millisecond // advice where there is no configuration yet
+	endingRetry  = 50 * time.Millisecond  // advice of a process that ends: others are there
 	mostAfter    = 30 * time.Second       // advice to a caller whose allowance is used up
 	shareOfTime  = 0.02                   // of a client's patience, set aside for the way back
 )
@@ -57,6 +58,9 @@
 func (g *Gate) Serve(c *front.Conn, r *httpwire.Request, at time.Time) bool {
 	keep := r.KeepAlive && !c.Closing()
 	c.Active(at)
+	if c.Refusing() {
+		return c.Write(503, "this process is about to end\n", false, retry(endingRetry))
+	}
 	p := g.plan.Load()
 	if p == nil {
 		return c.Write(503, "no configuration yet\n", keep, retry(lateRetry))
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -33,12 +33,15 @@
 	NoStamp bool          // the stamp is left out
 	ID      string        // "": the request's
 	Not     bool          // says that it did not run
+	NoID    bool          // the request's id is left out
+	Bare    bool          // no length: the answer ends with the connection
 	Extra   string        // bytes behind the answer
 	Close   bool          // says and does so
 	Reset   bool          // the connection ends with no answer
 	Cut     bool          // it ends in the middle of the body
 	Before  *Reply        // an answer that goes out first
 	Hold    chan struct{} // the answer waits for its close
+	Then    chan struct{} // after an early answer nothing is read until its close
 	Headers map[string]string
 }
 
@@ -48,6 +51,11 @@
 	Addr string
 	// Do tells what becomes of the n-th request, from 1; nil: all are answered.
 	Do func(n int, s Seen) Reply
+	// Early answers a request before its body is read; nil, or a nil answer: none is.
+	Early func(s Seen) *Reply
+	// Window is how many bytes a connection's kernel takes unread; 0: as it likes. It counts for
+	// connections that are made from then on.
+	Window atomic.Int64
 
 	ln    net.Listener
 	mu    sync.Mutex
@@ -107,6 +115,9 @@
 		if err != nil {
 			return
 		}
+		if window := s.Window.Load(); window > 0 {
+			c.(*net.TCPConn).SetReadBuffer(int(window))
+		}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.made++
@@ -131,12 +142,17 @@
 		if err != nil {
 			return
 		}
+		seen := Seen{Attempt: q.Header.Get("X-Saddleport-Attempt-Id"), Method: q.Method, Target: q.RequestURI, Host: q.Host,
+			Header: q.Header, Conn: number, Ran: true}
+		answered := s.early(c, seen)
 		body, err := io.ReadAll(q.Body)
 		if err != nil {
 			return
 		}
-		seen := Seen{Attempt: q.Header.Get("X-Saddleport-Attempt-Id"), Method: q.Method, Target: q.RequestURI, Host: q.Host,
-			Body: string(body), Header: q.Header, Conn: number, Ran: true}
+		if answered {
+			continue
+		}
+		seen.Body = string(body)
 		seen.DeadlineMs, _ = strconv.Atoi(q.Header.Get("X-Saddleport-Deadline-Ms"))
 		var p Reply
 		if target := q.Header.Get("X-Saddleport-Target-Instance"); target != "" && target != s.ID {
@@ -165,22 +181,46 @@
 			b = b[:len(b)-len(p.Body)/2-1]
 		}
 		c.SetWriteDeadline(time.Now().Add(time.Second))
-		if _, err := c.Write(append(b, p.Extra...)); err != nil || p.Close || p.Cut {
+		if _, err := c.Write(append(b, p.Extra...)); err != nil || p.Close || p.Cut || p.Bare {
 			return
 		}
 	}
 }
 
+// early answers a request whose body has not been read, and notes it as one that did not run.
+func (s *Server) early(c net.Conn, seen Seen) bool {
+	if s.Early == nil {
+		return false
+	}
+	p := s.Early(seen)
+	if p == nil {
+		return false
+	}
+	seen.Ran = !p.Not
+	s.mu.Lock()
+	s.seen = append(s.seen, seen)
+	s.mu.Unlock()
+	c.SetWriteDeadline(time.Now().Add(time.Second))
+	c.Write(answer(*p, seen.Attempt, s.ID))
+	if p.Then != nil {
+		<-p.Then
+	}
+	return true
+}
+
 func answer(p Reply, attempt, id string) []byte {
 	status := p.Status
 	if status == 0 {
 		status = 200
 	}
-	b := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(p.Body))
+	b := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if !p.Bare {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(p.Body))
+	}
 	if p.ID != "" {
 		attempt = p.ID
 	}
-	if attempt != "" && !p.Not {
+	if attempt != "" && !p.NoID {
 		b = fmt.Appendf(b, "X-Saddleport-Attempt-Id: %s\r\n", attempt)
 	}
 	if !p.NoStamp && !p.Not && status != 421 {
--- a/internal/node/role/tide.go
+++ b/internal/node/role/tide.go
@@ -30,15 +30,10 @@
 	mostHeld     = 20_000
 	unreadBytes  = 64 << 10 // of answers, that the kernel keeps for a client that has not read them
 	feedPause    = 60 * time.Millisecond
-	stayTime     = 2500 * time.Millisecond // after SIGTERM: until the platform has seen that this mixer is not ready
-	endMargin    = 700 * time.Millisecond  // before the grace is over
-	lastChance   = 100 * time.Millisecond
-	pollTime     = 20 * time.Millisecond
 	countEvery   = 30 * time.Second
 	doubtTime    = 60 * time.Second // until then an agent that started anew has learned all there is
 	tierEvery    = 5 * time.Second  // beside news: a part of the budget that was withheld is given by then
-	quietTime    = 300 * time.Millisecond
-	resolution   = 1000 // microseconds
+	resolution   = 1000             // microseconds
 	attemptCap   = 8
 	overdueBy    = 3.3 // times the upper quantile: second copies mostly leave the zone (docs/results/grown.md)
 	overdueMax   = 0.8 // of the aim
@@ -163,24 +158,8 @@
 			events.Count.Log("c", x.Counters.String(), "unrouted", t.gate.Unrouted.Load())
 		}
 	}
-	events.Stopping.Log("open", x.Open())
 	stopping.Store(true)
-	f.Stop()
-	since := time.Now()
-	over := since.Add(from.Boot().Bounds.Grace - endMargin)
-	for time.Since(since) < min(stayTime, boot.Bounds.Grace/2) {
-		time.Sleep(pollTime)
-	}
-	f.Close()
-	for time.Now().Before(over) && (x.Open() > 0 || !f.Quiet(quietTime)) {
-		f.CloseIdle(lastChance)
-		time.Sleep(pollTime)
-	}
-	ln.Close()
-	for time.Now().Before(over) && f.Clients() > 0 {
-		f.CloseIdle(lastChance)
-		time.Sleep(pollTime)
-	}
+	t.shutDown(ln, from.Boot().Bounds.Grace)
 	return nil
 }
 
