--- a/internal/cluster/routeconfig/routeconfig.go
+++ b/internal/cluster/routeconfig/routeconfig.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"saddleport/internal/cluster/message"
 	"saddleport/internal/paths"
 )
 
@@ -86,6 +87,16 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// revision is the number of a configuration: whole, not negative, and with room for the mark
+// that orders two contents of one number.
+func revision(at paths.Reader) int64 {
+	n := at.NoText().Int()
+	if n < 0 || n > message.MostVersion {
+		at.Failf("%d is not between 0 and %d", n, int64(message.MostVersion))
+	}
+	return n
+}
+
 // Read checks a configuration whole. What is wrong is told by its path.
 func Read(raw []byte) (*Charter, error) {
 	root, err := paths.JSON(raw)
@@ -94,7 +105,7 @@
 	}
 	root.Object()
 	c := &Charter{Raw: raw, Services: make(map[string]*Service), hosts: make(map[string]map[string]*Route), Limits: Usual}
-	c.Revision = root.At("revision").Must().Int()
+	c.Revision = revision(root.At("revision").Must())
 	for _, at := range root.At("services").Must().Items() {
 		s := &Service{Name: at.Object().At("name").Must().Text(), Health: at.At("health_check_path").Text(),
 			MaxConns: int(at.At("max_connections").Int())}
--- a/internal/lab/measure/core.go
+++ b/internal/lab/measure/core.go
@@ -74,8 +74,12 @@
 	byAddr  map[string]*machine
 	seeds   []string
 	version uint64
-	asked   map[string]int64 // when a call was made
+	quiet   bool              // the operator has stopped
+	asked   map[string]int64  // when a call was made
+	sent    map[string]uint64 // the version of an order
+	newest  uint64            // the highest version that was acknowledged to a caller
 	acked   func(askedAt int64)
+	told    func(x *machine, res chain.Result) // of what a machine tells its callers; nil: nobody
 }
 
 // MeasureCore plays each loss so many times.
@@ -95,7 +99,21 @@
 }
 
 func (p CorePlan) play(loss Loss, seed uint64) (time.Duration, bool) {
-	w := &coreWorld{sim: newSim(seed), plan: p, byAddr: make(map[string]*machine), asked: make(map[string]int64)}
+	w := p.world(seed)
+	at, ackAt := w.now, int64(0)
+	w.acked = func(askedAt int64) {
+		if askedAt > at && ackAt == 0 {
+			ackAt = w.now
+		}
+	}
+	w.suffer(loss)
+	w.until(at+60_000*ms, func() bool { return ackAt == 0 })
+	return time.Duration((ackAt - at) * micro), ackAt > 0
+}
+
+// world is a core that has run for some seconds, while an operator sends versions.
+func (p CorePlan) world(seed uint64) *coreWorld {
+	w := &coreWorld{sim: newSim(seed), plan: p, byAddr: make(map[string]*machine), asked: make(map[string]int64), sent: make(map[string]uint64)}
 	for i := range p.Machines {
 		x := &machine{addr: fmt.Sprintf("10.%d.0.1:7080", i+1)}
 		x.zone, x.region = place(i, 3)
@@ -109,24 +127,11 @@
 	}
 	w.after(500*ms, w.ask)
 	w.until(5000*ms+w.rng.Int64N(1000*ms), nil)
-	at, ackAt := w.now, int64(0)
-	w.acked = func(askedAt int64) {
-		if askedAt > at && ackAt == 0 {
-			ackAt = w.now
-		}
-	}
-	w.suffer(loss)
-	w.until(at+60_000*ms, func() bool { return ackAt == 0 })
-	return time.Duration((ackAt - at) * micro), ackAt > 0
+	return w
 }
 
 func (w *coreWorld) suffer(loss Loss) {
-	v := message.View{}
-	for _, x := range w.ms {
-		if x.m.Consensus.View.Epoch > v.Epoch {
-			v = x.m.Consensus.View
-		}
-	}
+	v := w.view()
 	head, middle, tail := w.byAddr[v.Head().Addr], w.byAddr[v.Chain[len(v.Chain)/2].Addr], w.byAddr[v.Tail().Addr]
 	switch loss {
 	case HeadLost:
@@ -153,6 +158,16 @@
 	}
 }
 
+// view is the newest that a machine is in.
+func (w *coreWorld) view() (v message.View) {
+	for _, x := range w.ms {
+		if x.m.Consensus.View.Epoch > v.Epoch {
+			v = x.m.Consensus.View
+		}
+	}
+	return v
+}
+
 func (w *coreWorld) start(x *machine) {
 	x.up, x.life = true, x.life+1
 	x.m = replica.New(w.now, replica.Usual(w.plan.Faults), x.disk, w.seeds, fmt.Sprint(x.addr, ".", x.life), chain.Breaks{})
@@ -174,6 +189,9 @@
 
 // ask has an operator send a version to any machine that it reaches, again and again.
 func (w *coreWorld) ask() {
+	if w.quiet {
+		return
+	}
 	var up []*machine
 	for _, x := range w.ms {
 		if x.up && !x.cutIn && !x.cutOut {
@@ -184,7 +202,7 @@
 		x := up[w.rng.IntN(len(up))]
 		w.version++
 		id, out := x.m.Put(w.now, message.NewEntry(w.version, []byte("x")))
-		w.asked[id] = w.now
+		w.asked[id], w.sent[id] = w.now, w.version
 		w.flow(x, out)
 	}
 	w.after(askEvery, w.ask)
@@ -223,6 +241,13 @@
 		for _, out := range batch {
 			w.send(x, out.Send)
 			for _, res := range out.Results {
+				if res.OK() {
+					w.newest = max(w.newest, w.sent[res.ID])
+				}
+				delete(w.sent, res.ID)
+				if w.told != nil {
+					w.told(x, res)
+				}
 				if at, known := w.asked[res.ID]; known && res.OK() && w.acked != nil {
 					w.acked(at)
 				}
--- a/internal/lab/measure/measure_test.go
+++ b/internal/lab/measure/measure_test.go
@@ -43,6 +43,32 @@
 	})
 }
 
+// A core machine that is cut off answers nothing of its own any more, and knows it within
+// 2 s; the others go on. After hundreds of orders one that comes back needs no longer.
+func TestCutOff(t *testing.T) {
+	Convey("Wherever in the core the machine stands that is cut off for 20 s", t, func() {
+		for _, c := range MeasureCut(CorePlan{Machines: 4, Faults: 1, Runs: 5, Seed: 1, Delays: Usual}) {
+			So(c.Never, ShouldEqual, 0)
+			So(c.Old, ShouldEqual, 0)
+			So(c.LastAnswer.At(1), ShouldBeLessThan, 100*time.Millisecond)
+			So(c.Aware.At(1), ShouldBeLessThan, 2*time.Second)
+			So(c.Elsewhere.At(1), ShouldBeLessThan, 4*time.Second)
+			So(c.Back.At(1), ShouldBeLessThan, time.Second)
+		}
+	})
+}
+
+func TestCatchUp(t *testing.T) {
+	Convey("The time to catch up and the disk do not grow with the orders", t, func() {
+		plan := CatchUpPlan{Core: CorePlan{Machines: 3, Faults: 1, Runs: 2, Seed: 1, Delays: Usual}, Orders: []int{100, 1000}, Bytes: 10_000}
+		few, many := MeasureCatchUp(plan)[0], MeasureCatchUp(plan)[1]
+		So(few.Never+many.Never, ShouldEqual, 0)
+		So(many.Empty.At(1), ShouldBeLessThan, 2*few.Empty.At(1))
+		So(many.Restarted.At(1), ShouldBeLessThan, time.Second)
+		So(many.Disk, ShouldBeLessThan, 4096)
+	})
+}
+
 func TestLaggards(t *testing.T) {
 	Convey("A server that turns slow is treated so by all within seconds, a healthy one never", t, func() {
 		l := MeasureLaggards(LaggardPlan{Mixers: 9, Zones: 3, Shards: 4, Each: 4, Rate: 320, Times: 8, Runs: 4, Calm: 2 * time.Minute, Seed: 1, Delays: Usual})
--- a/internal/node/role/disk_test.go
+++ b/internal/node/role/disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"io"
 	"os"
@@ -78,6 +79,32 @@
 			So(back.State.Self.Disk, ShouldNotEqual, consensus.FirstDisk)
 			So(back.State.View.Epoch, ShouldEqual, uint64(0))
 		})
+		Convey("of another address brings nothing of that machine's along", func() {
+			s, err := storage.Open(dir)
+			So(err, ShouldBeNil)
+			entry, _ := json.Marshal(message.NewEntry(8, []byte("x")))
+			So(s.Put(storage.Entry{Key: keyEntry, Value: entry}), ShouldBeNil)
+			So(s.Close(), ShouldBeNil)
+			f.dirs[f.ip(2)] = dir
+			boot := f.boot(2, false)
+			boot.Bootstrap = true // even where the settings take it for the first start
+			moved, back, err := openDisk(boot)
+			So(err, ShouldBeNil)
+			So(moved.Close(), ShouldBeNil)
+			So(back.Entry, ShouldBeNil)
+			So(back.State.Self.Disk, ShouldNotEqual, consensus.FirstDisk)
+		})
+		Convey("of a format that is not known here is set aside", func() {
+			s, err := storage.Open(dir)
+			So(err, ShouldBeNil)
+			So(s.Put(storage.Entry{Key: keyState, Value: []byte(`{"format":99,"self":{"a":"x","d":"0"}}`)}), ShouldBeNil)
+			So(s.Close(), ShouldBeNil)
+			back, err := again(1)
+			So(err, ShouldBeNil)
+			So(back.State.Self.Disk, ShouldNotEqual, consensus.FirstDisk)
+			_, err = os.Stat(filepath.Join(dir, "damaged"))
+			So(err, ShouldBeNil)
+		})
 		Convey("whose configuration is older than its view says is not trusted", func() {
 			s, err := storage.Open(dir)
 			So(err, ShouldBeNil)
@@ -135,3 +162,43 @@
 		So(string(told.Body), ShouldEqual, string(seen.Raw))
 	})
 }
+
+// A thousand configurations leave a disk that is not much larger than a few of them.
+func TestDiskStaysSmall(t *testing.T) {
+	Convey("After a thousand orders of 100 kB", t, func() {
+		dir := t.TempDir()
+		s, err := storage.Open(dir)
+		So(err, ShouldBeNil)
+		raw := make([]byte, 100_000)
+		for version := range uint64(1000) {
+			rand.Read(raw) // nothing that a store could make smaller
+			text, err := json.Marshal(message.NewEntry(version+1, raw))
+			So(err, ShouldBeNil)
+			So(s.Put(storage.Entry{Key: keyState, Value: make([]byte, 800)}, storage.Entry{Key: keyEntry, Value: text}), ShouldBeNil)
+		}
+		So(s.Close(), ShouldBeNil)
+		size := int64(0)
+		So(filepath.WalkDir(dir, func(_ string, d os.DirEntry, err error) error {
+			if info, e := d.Info(); e == nil && !d.IsDir() {
+				size += info.Size()
+			}
+			return err
+		}), ShouldBeNil)
+		t.Logf("%d bytes on disk", size)
+		So(size, ShouldBeLessThan, int64(48<<20))
+	})
+}
+
+// One message that can't be read takes no other with it.
+func TestMailThatCannotBeRead(t *testing.T) {
+	Convey("Of a mail with three messages of which one is of an unknown kind", t, func() {
+		good, err := json.Marshal(message.Message{Body: message.Ack{Rank: 3}})
+		So(err, ShouldBeNil)
+		var m Mail
+		So(json.Unmarshal([]byte(`{"m":[`+string(good)+`,{"k":"elect","b":{}},`+string(good)+`]}`), &m), ShouldBeNil)
+		So(m.Messages, ShouldHaveLength, 2)
+		So(m.unread, ShouldHaveLength, 1)
+		So(m.unread[0].Error(), ShouldContainSubstring, "elect")
+		So(json.Unmarshal([]byte(`{"m":7}`), &m), ShouldNotBeNil)
+	})
+}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -224,6 +224,14 @@
 	return int64(f)
 }
 
+// NoText complains of a value that is a text, where numbers in texts are not taken.
+func (r Reader) NoText() Reader {
+	if text, is := r.v.(string); is {
+		r.Failf("%.40q is a text, not a number", text)
+	}
+	return r
+}
+
 // Bool is the truth value at the place; false where nothing is.
 func (r Reader) Bool() bool {
 	switch v := r.v.(type) {
