--- a/internal/cluster/chain/orders.go
+++ b/internal/cluster/chain/orders.go
@@ -30,7 +30,7 @@
 		return
 	}
 	if slices.ContainsFunc(m.waiting, func(o waiter) bool { return o.id == order.ID && o.from == from }) {
-		m.send(from, message.Waiting{ID: order.ID})
+		m.sayWaiting(from, order.ID)
 		return
 	}
 	if version > message.Version(m.held.Rank) {
@@ -45,6 +45,11 @@
 	m.pass(now, m.flight.active && m.flight.entry.Rank == m.held.Rank)
 }
 
+// sayWaiting tells a caller that its call is known here and waits for others.
+func (m *Machine) sayWaiting(to message.Member, id string) {
+	m.send(to, message.Waiting{ID: id})
+}
+
 // verdict is what has become of an order, by what is kept.
 func (m *Machine) verdict(order message.Enter) message.Verdict {
 	version := message.Version(order.Rank)
--- a/internal/cluster/chain/reads.go
+++ b/internal/cluster/chain/reads.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if slices.ContainsFunc(m.reads, func(o reader) bool { return o.id == read.ID && o.from == from }) {
-		m.send(from, message.Waiting{ID: read.ID})
+		m.sayWaiting(from, read.ID)
 		return
 	}
 	r := reader{id: read.ID, from: from, since: now, sentAt: now, confirmed: map[message.Member]bool{m.self: true}}
--- a/internal/hook/engine.go
+++ b/internal/hook/engine.go
@@ -30,8 +30,6 @@
 	Quarantined Kind = "quarantined" // its breaker is open
 )
 
-var kinds = []Kind{Overrun, Memory, Thrown, Garbage, Forbidden, Busy, Short, Quarantined}
-
 // own tells whether a kind is the hook's own doing.
 func (k Kind) own() bool { return k != Busy && k != Short && k != Quarantined }
 
--- a/sdk/guest/guest.go
+++ b/sdk/guest/guest.go
@@ -55,6 +55,8 @@
 	return &Answer{Refuse: true, Reason: reason, RetryAfter: retryAfterMS * 1000}
 }
 
+//lint:ignore U1000 the exports that call it are built for WebAssembly alone
+
 // dispatch reads a view, asks the handler and writes its answer.
 func dispatch(p Point, b []byte) []byte {
 	if int(p) >= len(handlers) || handlers[p] == nil {
