--- a/internal/lab/measure/laggards.go
+++ b/internal/lab/measure/laggards.go
@@ -77,7 +77,7 @@
 
 func newLaggardWorld(plan LaggardPlan) *laggardWorld {
 	core := 3
-	for cores(plan.Mixers+core) != core {
+	for (NewsPlan{Processes: plan.Mixers + core}).cores() != core {
 		core++
 	}
 	base := newNewsWorld(NewsPlan{Processes: plan.Mixers + core, Zones: plan.Zones, Seed: plan.Seed, Delays: plan.Delays}, member.Duty{Name: outlier.Duty, Kind: "echo"})
--- a/internal/lab/measure/news.go
+++ b/internal/lab/measure/news.go
@@ -13,7 +13,8 @@
 
 // NewsPlan says what is measured of news.
 type NewsPlan struct {
-	Processes int // of them a tenth, three at least, are core processes
+	Processes int
+	Cores     int // of the processes, core processes; 0: a tenth, three at least
 	Zones     int
 	Servers   int     // whose news is held from the start
 	Loss      float64 // share of calls that are lost on the way or back
@@ -80,7 +81,7 @@
 
 func (p *proc) start() {
 	kind := "echo"
-	if p.i < cores(p.w.plan.Processes) {
+	if p.i < p.w.plan.cores() {
 		kind = "keel"
 	}
 	p.up, p.life = true, p.life+1
@@ -94,7 +95,12 @@
 	p.step()
 }
 
-func cores(n int) int { return max(3, n/10) }
+func (p NewsPlan) cores() int {
+	if p.Cores > 0 {
+		return p.Cores
+	}
+	return max(3, p.Processes/10)
+}
 
 // step has the machine do what is due, and sets the next alarm.
 func (p *proc) step() {
@@ -209,7 +215,7 @@
 func MeasureNews(plan NewsPlan) News {
 	w := newNewsWorld(plan)
 	for i := range plan.Servers {
-		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%cores(plan.Processes)].told(i, 1, registry.Available) })
+		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%plan.cores()].told(i, 1, registry.Available) })
 	}
 	out := News{Plan: plan}
 	w.until(20_000*ms, nil)
@@ -303,7 +309,7 @@
 	w.until(w.now+w.rng.Int64N(2000*ms), nil)
 	server := run % max(w.plan.Servers, 1)
 	seq := uint64(run + 2)
-	w.procs[w.rng.IntN(cores(w.plan.Processes))].told(server, seq, registry.Draining)
+	w.procs[w.rng.IntN(w.plan.cores())].told(server, seq, registry.Draining)
 	key := registry.Prefix + fmt.Sprint("i-", server)
 	w.spread(func(p *proc) bool { i, _ := p.kin.Book().Get(key); return i.Rank >= seq<<2 }, &out.Half, &out.Reached)
 }
--- a/internal/node/role/fleet_test.go
+++ b/internal/node/role/fleet_test.go
@@ -33,6 +33,7 @@
 	seeds string
 	dirs  map[string]string
 	stops map[string]func()
+	boots map[string]*Boot
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -45,7 +46,7 @@
 		port -= 1000
 	}
 	f := &fleet{t: t, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250)), port: port,
-		dirs: make(map[string]string), stops: make(map[string]func())}
+		dirs: make(map[string]string), stops: make(map[string]func()), boots: make(map[string]*Boot)}
 	f.seeds = fmt.Sprintf("%s,%s,%s", f.control(1), f.control(2), f.control(3))
 	t.Cleanup(func() {
 		for _, stop := range f.stops {
@@ -75,12 +76,13 @@
 	return b
 }
 
-// start runs a program on a machine; stop ends it at once, as a kill does.
+// start runs a program on a machine; stop ends it as SIGTERM does.
 func (f *fleet) start(name string, machine int, first bool, run func(context.Context, *Settings) error) {
 	key := fmt.Sprint(name, machine)
 	ctx, cancel := context.WithCancel(context.Background())
 	over := make(chan error, 1)
 	boot := f.boot(machine, first)
+	f.boots[key] = boot
 	go func() { over <- run(ctx, Fixed(boot)) }()
 	f.stops[key] = func() {
 		cancel()
@@ -91,6 +93,13 @@
 
 func (f *fleet) stop(name string, machine int) { f.stops[fmt.Sprint(name, machine)]() }
 
+// kill ends a program without the time to hand anything over.
+func (f *fleet) kill(name string, machine int) {
+	boot := f.boots[fmt.Sprint(name, machine)]
+	boot.Bounds.Grace = 0
+	f.stop(name, machine)
+}
+
 // until waits for what must come about.
 func until(what string, f func() bool) {
 	end := time.After(60 * time.Second)
--- a/internal/node/role/keel.go
+++ b/internal/node/role/keel.go
@@ -32,11 +32,12 @@
 var (
 	beatCall     = rpc.Declare[registry.Beat, Beaten]("POST", "/Instances.Heartbeat/{name}", 16<<10, "servers")
 	leaveCall    = rpc.Declare[rpc.Raw, Nothing]("POST", "/Instances.Deregister/{name}", 16<<10, "servers")
-	replaceCall  = rpc.Declare[rpc.Raw, Nothing]("POST", "/Config.Replace", mostCall, "the operator")
+	replaceCall  = rpc.Declare[rpc.Raw, Nothing]("POST", "/Config.Replace", mostCall, "the operator").AtOnce(mostOrders)
 	describeCall = rpc.Declare[rpc.Raw, rpc.Raw]("GET", "/Config.Describe", mostCall, "the operator")
 )
 
 const (
+	mostOrders = 16 // at once: twice what the operators' page names, each of mostCall at most
 	retryAfter = 300 * time.Millisecond
 	quietBeats = 3.5 // beats missed, before a server is silent
 	tickEvery  = 250 * time.Millisecond
@@ -52,7 +53,8 @@
 	kept   []byte           // what is remembered of the servers that beat here; under mu
 	keeps  int              // how many they are
 
-	core *core
+	core     *core
+	checking sync.Mutex // one configuration at a time: as a tree it takes many times its bytes
 }
 
 // Keel is a core process: it takes heartbeats and configurations.
@@ -253,7 +255,9 @@
 }
 
 func (k *keel) replace(ctx context.Context, who rpc.Named, raw rpc.Raw) (Nothing, error) {
+	k.checking.Lock()
 	c, err := routeconfig.Read(raw)
+	k.checking.Unlock()
 	if err != nil {
 		events.Invalid.Log("peer", who.Peer, "path", err)
 		return Nothing{}, rpc.Fail(http.StatusBadRequest, "%v", err)
--- a/internal/node/rpc/rpc.go
+++ b/internal/node/rpc/rpc.go
@@ -33,6 +33,27 @@
 	Most   int64  // bytes of a request's body, and of an answer's
 	Who    string // for the docs
 	packed bool   // bodies that are large go compressed, where the other side takes them
+	slots  chan struct{}
+}
+
+// AtOnce has no more than n calls be answered at once. One more is told to come again, before
+// its body is read: so many bodies fit into the memory.
+func (c Call[Req, Ans]) AtOnce(n int) Call[Req, Ans] {
+	c.slots = make(chan struct{}, n)
+	return c
+}
+
+// enter takes a slot; full: there is none.
+func (c Call[Req, Ans]) enter() (leave func(), full bool) {
+	if c.slots == nil {
+		return func() {}, false
+	}
+	select {
+	case c.slots <- struct{}{}:
+		return func() { <-c.slots }, false
+	default:
+		return nil, true
+	}
 }
 
 // Packed has large bodies of the call go compressed. It is for calls between the system's
@@ -94,12 +115,19 @@
 	readBody  = 5 * time.Second
 	writeTime = 5 * time.Second
 	idleTime  = 60 * time.Second
+	fullRetry = 300 * time.Millisecond // advice to a caller that finds no slot
 	mostHead  = 8 << 10
 )
 
 // On has f answer a call.
 func (c Call[Req, Ans]) On(mux *http.ServeMux, f func(ctx context.Context, who Named, req Req) (Ans, error)) {
 	mux.HandleFunc(c.Method+" "+c.Path, func(w http.ResponseWriter, r *http.Request) {
+		leave, full := c.enter()
+		if full {
+			reply(w, r, &Outcome{Status: http.StatusServiceUnavailable, Reason: "too many such calls at once", Retry: fullRetry})
+			return
+		}
+		defer leave()
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.Most))
 		if err != nil {
 			var large *http.MaxBytesError
--- a/internal/node/rpc/rpc_test.go
+++ b/internal/node/rpc/rpc_test.go
@@ -129,3 +129,39 @@
 		})
 	})
 }
+
+// What finds no slot is told to come again, and is not kept waiting; the others are answered.
+func TestSlots(t *testing.T) {
+	Convey("A call of which two may be answered at once", t, func() {
+		call := Declare[word, word]("POST", "/T.Slots", 1<<10, "tests").AtOnce(2)
+		mux, in, release := http.NewServeMux(), make(chan struct{}, 9), make(chan struct{})
+		call.On(mux, func(_ context.Context, _ Named, w word) (word, error) {
+			in <- struct{}{}
+			<-release
+			return w, nil
+		})
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go Serve(ctx, ln, mux, 0)
+		via := NewClient(time.Second)
+		defer via.Close()
+		ended := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := call.Ask(ctx, via, ln.Addr().String(), "", word{"a"})
+				ended <- err
+			}()
+		}
+		<-in
+		<-in
+		_, err = call.Ask(ctx, via, ln.Addr().String(), "", word{"one too many"})
+		var out *Outcome
+		So(errors.As(err, &out), ShouldBeTrue)
+		So(out.Status, ShouldEqual, 503)
+		close(release)
+		So(<-ended, ShouldBeNil)
+		So(<-ended, ShouldBeNil)
+	})
+}
