--- a/internal/cluster/chain/chain.go
+++ b/internal/cluster/chain/chain.go
@@ -111,8 +111,12 @@
 
 // Keep keeps an entry if it is newer than the one that is kept.
 func (m *Machine) Keep(e message.Entry) {
-	if m.held.Stamp().Less(e.Stamp()) {
+	switch {
+	case !m.held.Stamp().Less(e.Stamp()):
+	case !e.Bare:
 		m.held, m.entryChanged = e, true
+	case m.held.Same(e.Rank, e.Digest):
+		m.held.Epoch, m.stampChanged = e.Epoch, true
 	}
 }
 
--- a/internal/cluster/consensus/acceptor.go
+++ b/internal/cluster/consensus/acceptor.go
@@ -88,7 +88,8 @@
 	held := m.holder.Held()
 	p := message.Promise{Ballot: b, Stamp: held.Stamp(), Accepted: m.Accepted}
 	if proposer.Less(held.Stamp()) {
-		p.Entry = &held
+		e := held.For(proposer)
+		p.Entry = &e
 	}
 	return p
 }
--- a/internal/cluster/consensus/consensus.go
+++ b/internal/cluster/consensus/consensus.go
@@ -208,7 +208,7 @@
 	switch {
 	case msg.Epoch == 0 || m.View.Epoch == 0:
 	case msg.Epoch < m.View.Epoch:
-		m.tell(msg.From, message.Stamp{})
+		m.tell(msg.From, m.peers.heard[msg.From].stamp) // a message of the chain does not say
 	case msg.Epoch > m.View.Epoch:
 		m.send(msg.From, m.View.Epoch, m.heartbeat(now))
 	}
--- a/internal/cluster/consensus/decide.go
+++ b/internal/cluster/consensus/decide.go
@@ -11,12 +11,16 @@
 
 // tell hands the view on, with the entry that goes with it where that may be lacking.
 func (m *Machine) tell(to message.Member, held message.Stamp) {
-	body := message.Decide{View: m.View}
-	if held.Less(m.View.BaseStamp()) && !m.breaks.JoinBehind {
-		e := m.holder.Held()
-		body.Entry = &e
+	m.send(to, m.View.Epoch, message.Decide{View: m.View, Entry: m.bring(held, m.View.BaseStamp())})
+}
+
+// bring is what one that holds something of a stamp lacks of what is needed; nil: nothing.
+func (m *Machine) bring(held, needed message.Stamp) *message.Entry {
+	if !held.Less(needed) || m.breaks.JoinBehind {
+		return nil
 	}
-	m.send(to, m.View.Epoch, body)
+	e := m.holder.Held().For(held)
+	return &e
 }
 
 // decided takes a view that was agreed on, if the entry that goes with it is here.
--- a/internal/cluster/consensus/proposer.go
+++ b/internal/cluster/consensus/proposer.go
@@ -100,12 +100,8 @@
 // prepareLearner asks one that is to be taken in whether it is there, and brings it up to
 // date.
 func (m *Machine) prepareLearner(x message.Member, b message.Ballot, held message.Stamp) {
-	body := message.Prepare{Ballot: b, Stamp: held, Joiner: &x}
-	if m.peers.learners[x].stamp.Less(held) && !m.breaks.JoinBehind {
-		e := m.holder.Held()
-		body.Entry = &e
-	}
-	m.send(x, m.View.Epoch+1, body)
+	entry := m.bring(m.peers.learners[x].stamp, held)
+	m.send(x, m.View.Epoch+1, message.Prepare{Ballot: b, Stamp: held, Joiner: &x, Entry: entry})
 }
 
 // answers tells whether a message answers the ballot at hand.
@@ -195,11 +191,7 @@
 
 func (m *Machine) accept(to message.Member, held message.Stamp) {
 	v := *m.mine.value
-	own := m.holder.Held()
-	body := message.Accept{Ballot: m.mine.ballot, Stamp: own.Stamp(), View: v}
-	if held.Less(v.BaseStamp()) && !m.breaks.JoinBehind {
-		body.Entry = &own
-	}
+	body := message.Accept{Ballot: m.mine.ballot, Stamp: m.holder.Held().Stamp(), View: v, Entry: m.bring(held, v.BaseStamp())}
 	m.send(to, v.Epoch, body)
 }
 
--- a/internal/cluster/message/entry.go
+++ b/internal/cluster/message/entry.go
@@ -24,8 +24,9 @@
 // then by rank. What a head of an earlier view took and could not have acknowledged is
 // thereby older than whatever a later view has, even under the same version.
 type Stamp struct {
-	Epoch uint64 `json:"e"`
-	Rank  uint64 `json:"r"`
+	Epoch  uint64 `json:"e"`
+	Rank   uint64 `json:"r"`
+	Digest uint64 `json:"d,omitempty"` // of the content; it orders nothing
 }
 
 // Less orders stamps.
@@ -47,6 +48,7 @@
 	Digest   uint64  // of the bytes
 	Raw      []byte  // as the operator sent it
 	Previous []Order // those before it, the newest last, MostPrevious at most
+	Bare     bool    // there is no content: it is for one that holds the same
 }
 
 // NewEntry makes an entry of an operator's bytes.
@@ -57,7 +59,16 @@
 }
 
 // Stamp is the entry's place in the order of entries.
-func (e Entry) Stamp() Stamp { return Stamp{e.Epoch, e.Rank} }
+func (e Entry) Stamp() Stamp { return Stamp{e.Epoch, e.Rank, e.Digest} }
+
+// For is the entry as it is told to one that holds something of a stamp: without its content
+// if that is the same, for contents are large.
+func (e Entry) For(held Stamp) Entry {
+	if e.Same(held.Rank, held.Digest) {
+		return Entry{Epoch: e.Epoch, Rank: e.Rank, Digest: e.Digest, Bare: true}
+	}
+	return e
+}
 
 // Same tells whether an entry has a rank and a digest.
 func (e Entry) Same(rank, digest uint64) bool { return e.Rank == rank && e.Digest == digest }
@@ -85,11 +96,12 @@
 	Text     string  `json:"t,omitempty"`
 	Raw      []byte  `json:"w,omitempty"`
 	Previous []Order `json:"p,omitempty"`
+	Bare     bool    `json:"h,omitempty"`
 }
 
 // MarshalJSON keeps every byte.
 func (e Entry) MarshalJSON() ([]byte, error) {
-	form := entryForm{Epoch: e.Epoch, Rank: e.Rank, Digest: e.Digest, Previous: e.Previous}
+	form := entryForm{Epoch: e.Epoch, Rank: e.Rank, Digest: e.Digest, Previous: e.Previous, Bare: e.Bare}
 	if utf8.Valid(e.Raw) {
 		form.Text = string(e.Raw)
 	} else {
@@ -104,7 +116,7 @@
 	if err := json.Unmarshal(text, &form); err != nil {
 		return err
 	}
-	*e = Entry{Epoch: form.Epoch, Rank: form.Rank, Digest: form.Digest, Raw: form.Raw, Previous: form.Previous}
+	*e = Entry{Epoch: form.Epoch, Rank: form.Rank, Digest: form.Digest, Raw: form.Raw, Previous: form.Previous, Bare: form.Bare}
 	if form.Text != "" {
 		e.Raw = []byte(form.Text)
 	}
--- a/internal/cluster/message/message.go
+++ b/internal/cluster/message/message.go
@@ -160,8 +160,15 @@
 func (Decide) Kind() Kind         { return "decide" }
 func (Suspect) Kind() Kind        { return "suspect" }
 
-// Carried is the entry that a message brings with it; nil: none.
-func Carried(body Body) *Entry {
+// Carried is the content that a message brings with it; nil: none.
+func Carried(body Body) []byte {
+	if e := entryOf(body); e != nil {
+		return e.Raw
+	}
+	return nil
+}
+
+func entryOf(body Body) *Entry {
 	switch b := body.(type) {
 	case Enter:
 		return b.Entry
--- a/internal/cluster/message/view.go
+++ b/internal/cluster/message/view.go
@@ -34,7 +34,7 @@
 func (v View) Has(m Member) bool { return slices.Contains(v.Members, m) }
 
 // BaseStamp is the stamp of the entry that goes with the view.
-func (v View) BaseStamp() Stamp { return Stamp{v.BaseEpoch, v.Base} }
+func (v View) BaseStamp() Stamp { return Stamp{Epoch: v.BaseEpoch, Rank: v.Base} }
 
 // Head is the first of the chain; the zero Member where there is no view.
 func (v View) Head() Member {
--- a/internal/node/role/coremail.go
+++ b/internal/node/role/coremail.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -20,34 +19,9 @@
 	postIdle  = time.Minute            // a machine that was sent nothing for so long is let go of
 )
 
-// Mail carries messages between core machines. Nothing is answered but that it came: what
-// is lost is sent again by whoever waits for it.
-type Mail struct {
-	Messages []message.Message `json:"m"`
-	unread   []error           // of messages that could not be read
-}
-
-// UnmarshalJSON reads what it can: one message that is spoilt, or of a kind that is not
-// spoken here, takes no other with it.
-func (m *Mail) UnmarshalJSON(text []byte) error {
-	var raw struct {
-		Messages []json.RawMessage `json:"m"`
-	}
-	if err := json.Unmarshal(text, &raw); err != nil {
-		return err
-	}
-	for _, one := range raw.Messages {
-		var msg message.Message
-		if err := json.Unmarshal(one, &msg); err != nil {
-			m.unread = append(m.unread, err)
-			continue
-		}
-		m.Messages = append(m.Messages, msg)
-	}
-	return nil
-}
-
-var mailCall = rpc.Declare[Mail, Nothing]("POST", "/Core.Mail", 4*mostCall, "core processes").Packed()
+// mailCall carries messages between core machines (message.EncodeMail). Nothing is answered
+// but that it came: what is lost is sent again by whoever waits for it.
+var mailCall = rpc.Declare[rpc.Raw, Nothing]("POST", "/Core.Mail", 4*mostCall, "core processes").Packed()
 
 // lane is one of the two ways of mail to a machine. What is large has one of its own, so
 // that heartbeats do not wait behind it.
@@ -94,9 +68,7 @@
 	defer p.mu.Unlock()
 	n, size := 0, 0
 	for n < len(p.queue) {
-		if e := message.Carried(p.queue[n].Body); e != nil {
-			size += len(e.Raw)
-		}
+		size += len(message.Carried(p.queue[n].Body))
 		if n > 0 && size > mostCall {
 			break
 		}
@@ -166,8 +138,12 @@
 	for more := true; more && c.running.Err() == nil; {
 		var batch []message.Message
 		batch, more = p.take()
+		mail, err := message.EncodeMail(batch)
+		if err != nil {
+			panic("invariant: " + err.Error()) // each message has a form
+		}
 		ctx, cancel := context.WithTimeout(c.running, p.lane.timeout())
-		mailCall.Ask(ctx, c.node.client, p.lane.addr, "", Mail{Messages: batch}) // what is lost is sent again
+		mailCall.Ask(ctx, c.node.client, p.lane.addr, "", mail) // what is lost is sent again
 		cancel()
 	}
 }
@@ -184,12 +160,17 @@
 
 // serve answers the other core machines.
 func (c *core) serve(mux *http.ServeMux) {
-	mailCall.On(mux, func(ctx context.Context, who rpc.Named, m Mail) (Nothing, error) {
-		for _, err := range m.unread {
+	mailCall.On(mux, func(ctx context.Context, who rpc.Named, mail rpc.Raw) (Nothing, error) {
+		messages, unread, err := message.DecodeMail(mail)
+		if err != nil {
+			events.MailUnread.Log("peer", who.Peer, "err", err)
+			return Nothing{}, rpc.Fail(http.StatusBadRequest, "%v", err)
+		}
+		for _, err := range unread {
 			events.MailUnread.Log("peer", who.Peer, "err", err)
 		}
 		return Nothing{}, c.do(ctx, func() {
-			for _, msg := range m.Messages {
+			for _, msg := range messages {
 				c.flow(c.replica.Got(c.now(), msg))
 			}
 		})
