--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -99,17 +99,31 @@
 	return p, string(b)
 }
 
+// BenchmarkGather is one request to so many shards: the client and the servers are in the
+// same process, so what a part costs the proxy is less than this tells.
 func BenchmarkGather(b *testing.B) {
+	for _, shards := range []int{4, 16, 64, 140} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) { gather(b, shards) })
+	}
+}
+
+func gather(b *testing.B, shards int) {
 	p := newProxy(b, nil)
-	p.charter(four)
-	for _, name := range []string{"a", "b", "c", "d"} {
+	names := make([]string, shards)
+	services := make([]string, shards)
+	for i := range names {
+		names[i], services[i] = fmt.Sprintf(`"s%d"`, i), fmt.Sprintf(`{"name":"s%d"}`, i)
+	}
+	p.charter(`{"revision":1,"services":[` + strings.Join(services, ",") + `],"routes":[{"hostname":"h","path_prefix":"/all/","route_type":"idempotent",` +
+		`"timeout_ms":2500,"target_latency_ms":250,"max_attempts":2,"result_limit":3,"min_success_ratio":0.5,"fanout_services":[` + strings.Join(names, ",") + `]}]}`)
+	for shard := range shards {
 		for i := range 2 {
-			s, err := standin.NewServer(fmt.Sprint("i-", name, i), func(int, standin.Seen) standin.Reply {
+			s, err := standin.NewServer(fmt.Sprintf("i-%d-%d", shard, i), func(int, standin.Seen) standin.Reply {
 				return standin.Reply{Body: strings.Repeat("0123456789abcdef", 10)}
 			})
 			require.NoError(b, err)
 			b.Cleanup(s.Close)
-			p.server(name, s)
+			p.server(fmt.Sprintf("s%d", shard), s)
 		}
 	}
 	c, err := net.Dial("tcp4", p.addr)
@@ -117,10 +131,12 @@
 	defer c.Close()
 	r := bufio.NewReader(c)
 	b.ReportAllocs()
+	b.ResetTimer()
 	for i := 0; i < b.N; i++ {
 		ans, body := ask(b, c, r, "GET", "/all/x", fmt.Sprint("id", i), "")
 		if ans.StatusCode != 200 || len(body) != 48 {
 			b.Fatal(ans.Status, body, ans.Header)
 		}
 	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*shards), "us/part")
 }
--- /dev/null
+++ b/internal/node/role/capacity_test.go
@@ -0,0 +1,47 @@
+package role
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"saddleport/internal/cluster/gossip"
+	"saddleport/internal/cluster/registry"
+	"saddleport/internal/node/rpc"
+)
+
+// BenchmarkHeartbeat is one heartbeat of a server at a core machine, without the HTTP round it,
+// by the number of agents that the machine knows of.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, agents := range []int{60, 180, 600, 1800} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			boot, err := ParseBoot("node_name=m\nip_address=10.1.0.1\nzone=z0\nregion=r0\ninternal_port_range=7080,7090\nseed_addresses=10.1.0.1:8047\n" +
+				"heartbeat_interval_ms=1200\nlisten_addresses.control_plane=10.1.0.1:8047")
+			if err != nil {
+				b.Fatal(err)
+			}
+			k := &keel{Node: NewNode(Fixed(boot), "keel")}
+			k.roster = registry.New(k.self.Addr, 1<<40)
+			for i := range agents + 12 {
+				p := gossip.Process{Addr: fmt.Sprintf("10.2.%d.%d:7080", i/200, i%200), Kind: "echo", Zone: fmt.Sprint("z", i%7)}
+				if i < 12 {
+					p.Kind, p.Control = "keel", fmt.Sprintf("10.2.%d.%d:8047", i/200, i%200)
+				}
+				body, _ := json.Marshal(p)
+				k.Put(gossip.Item{Key: gossip.Processes + p.Addr, Rank: 1, Body: body})
+			}
+			servers := agents * 8700 / 1800 / 12
+			names := make([]string, servers)
+			for i := range names {
+				names[i] = fmt.Sprintf("i-%08x", i)
+			}
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				beat := registry.Beat{Service: "s1", Addr: "10.9.0.1:80", Zone: "z1", Revision: "v1", Capacity: 3, State: registry.SaysAvailable, Sequence: int64(i/servers + 1)}
+				if _, err := k.heard(rpc.Named{Name: names[i%servers]}, beat); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/node/role/keel.go
+++ b/internal/node/role/keel.go
@@ -55,6 +55,26 @@
 
 	core     *core
 	checking sync.Mutex // one configuration at a time: as a tree it takes many times its bytes
+	others   others
+}
+
+// others are the core machines that answer, looked up now and then: a heartbeat must not cost
+// more the more processes there are.
+type others struct {
+	mu   sync.Mutex
+	at   int64
+	list []gossip.Process
+}
+
+const othersFor = 250_000 // microseconds
+
+func (k *keel) coreMachines() []gossip.Process {
+	k.others.mu.Lock()
+	defer k.others.mu.Unlock()
+	if now := k.now(); k.others.at == 0 || now-k.others.at >= othersFor {
+		k.others.list, k.others.at = k.awake(k.Peers("keel")), max(now, 1)
+	}
+	return k.others.list
 }
 
 // Keel is a core process: it takes heartbeats and configurations.
@@ -243,7 +263,7 @@
 	if least == 0 {
 		return ""
 	}
-	for _, p := range k.awake(k.Peers("keel")) {
+	for _, p := range k.coreMachines() {
 		if d, h := far(p), xxhash.Sum64String(server+p.Addr); p.Control != "" && (d < least || d == least && best.Addr != k.self.Addr && h > most) {
 			best, least, most = p, d, h
 		}
