--- a/internal/cluster/chain/chain.go
+++ b/internal/cluster/chain/chain.go
@@ -115,7 +115,7 @@
 	case !m.held.Stamp().Less(e.Stamp()):
 	case !e.Bare:
 		m.held, m.entryChanged = e, true
-	case m.held.Same(e.Rank, e.Digest):
+	case m.held.Same(e.Rank, e.Lineage):
 		m.held.Epoch, m.stampChanged = e.Epoch, true
 	}
 }
--- a/internal/cluster/chain/pass.go
+++ b/internal/cluster/chain/pass.go
@@ -59,7 +59,7 @@
 	n, _ := m.next()
 	e := m.flight.entry
 	m.flight.sentAt = now
-	body := message.Pass{Rank: e.Rank, Digest: e.Digest}
+	body := message.Pass{Rank: e.Rank, Lineage: e.Lineage}
 	if m.flight.asked++; !known || m.flight.asked >= mostAsked {
 		body.Entry, m.flight.asked = &e, 0
 	}
@@ -72,13 +72,13 @@
 		return // an older one that comes late
 	}
 	switch {
-	case m.flight.active && m.flight.entry.Same(p.Rank, p.Digest): // on its way, and asked for again from here
+	case m.flight.active && m.flight.entry.Same(p.Rank, p.Lineage): // on its way, and asked for again from here
 	case p.Entry != nil:
 		e := *p.Entry
 		e.Epoch = m.epoch()
 		m.Keep(e)
 		m.passOn(now, false)
-	case m.held.Same(p.Rank, p.Digest):
+	case m.held.Same(p.Rank, p.Lineage):
 		m.passOn(now, true)
 	default:
 		m.send(from, message.Lacks{Rank: p.Rank})
--- a/internal/cluster/message/entry.go
+++ b/internal/cluster/message/entry.go
@@ -24,9 +24,9 @@
 // then by rank. What a head of an earlier view took and could not have acknowledged is
 // thereby older than whatever a later view has, even under the same version.
 type Stamp struct {
-	Epoch  uint64 `json:"e"`
-	Rank   uint64 `json:"r"`
-	Digest uint64 `json:"d,omitempty"` // of the content; it orders nothing
+	Epoch   uint64 `json:"e"`
+	Rank    uint64 `json:"r"`
+	Lineage uint64 `json:"l,omitempty"` // of the entry; it orders nothing
 }
 
 // Less orders stamps.
@@ -48,6 +48,7 @@
 	Digest   uint64  // of the bytes
 	Raw      []byte  // as the operator sent it
 	Previous []Order // those before it, the newest last, MostPrevious at most
+	Lineage  uint64  // stands for its content and for all orders that were taken before it
 	Bare     bool    // there is no content: it is for one that holds the same
 }
 
@@ -59,23 +60,25 @@
 }
 
 // Stamp is the entry's place in the order of entries.
-func (e Entry) Stamp() Stamp { return Stamp{e.Epoch, e.Rank, e.Digest} }
+func (e Entry) Stamp() Stamp { return Stamp{e.Epoch, e.Rank, e.Lineage} }
 
 // For is the entry as it is told to one that holds something of a stamp: without its content
 // if that is the same, for contents are large.
 func (e Entry) For(held Stamp) Entry {
-	if e.Same(held.Rank, held.Digest) {
-		return Entry{Epoch: e.Epoch, Rank: e.Rank, Digest: e.Digest, Bare: true}
+	if e.Same(held.Rank, held.Lineage) {
+		return Entry{Epoch: e.Epoch, Rank: e.Rank, Lineage: e.Lineage, Bare: true}
 	}
 	return e
 }
 
-// Same tells whether an entry has a rank and a digest.
-func (e Entry) Same(rank, digest uint64) bool { return e.Rank == rank && e.Digest == digest }
+// Same tells whether an entry has a rank and a lineage. One content may be taken twice, by the
+// heads of two views, after different orders: then it is not the same entry.
+func (e Entry) Same(rank, lineage uint64) bool { return e.Rank == rank && e.Lineage == lineage }
 
 // After is the entry as it follows another one, in an epoch.
 func (e Entry) After(held Entry, epoch uint64) Entry {
 	e.Epoch = epoch
+	e.Lineage = lineage(held.Lineage, e.Rank, e.Digest)
 	e.Previous = slices.Clone(held.Previous)
 	if held.Rank > 0 {
 		e.Previous = append(e.Previous, Order{Version(held.Rank), held.Digest})
@@ -86,6 +89,15 @@
 	return e
 }
 
+func lineage(before, rank, digest uint64) uint64 {
+	var b [24]byte
+	binary.BigEndian.PutUint64(b[:], before)
+	binary.BigEndian.PutUint64(b[8:], rank)
+	binary.BigEndian.PutUint64(b[16:], digest)
+	sum := sha256.Sum256(b[:])
+	return binary.BigEndian.Uint64(sum[:])
+}
+
 // entryForm is how an entry is told and kept: text as text, for base64 hides from those
 // who pack it that its lines are alike; what is no text, and what older programs kept, as
 // base64.
@@ -96,12 +108,13 @@
 	Text     string  `json:"t,omitempty"`
 	Raw      []byte  `json:"w,omitempty"`
 	Previous []Order `json:"p,omitempty"`
+	Lineage  uint64  `json:"l,omitempty"`
 	Bare     bool    `json:"h,omitempty"`
 }
 
 // MarshalJSON keeps every byte.
 func (e Entry) MarshalJSON() ([]byte, error) {
-	form := entryForm{Epoch: e.Epoch, Rank: e.Rank, Digest: e.Digest, Previous: e.Previous, Bare: e.Bare}
+	form := entryForm{Epoch: e.Epoch, Rank: e.Rank, Digest: e.Digest, Previous: e.Previous, Lineage: e.Lineage, Bare: e.Bare}
 	if utf8.Valid(e.Raw) {
 		form.Text = string(e.Raw)
 	} else {
@@ -116,7 +129,7 @@
 	if err := json.Unmarshal(text, &form); err != nil {
 		return err
 	}
-	*e = Entry{Epoch: form.Epoch, Rank: form.Rank, Digest: form.Digest, Raw: form.Raw, Previous: form.Previous, Bare: form.Bare}
+	*e = Entry{Epoch: form.Epoch, Rank: form.Rank, Digest: form.Digest, Raw: form.Raw, Previous: form.Previous, Lineage: form.Lineage, Bare: form.Bare}
 	if form.Text != "" {
 		e.Raw = []byte(form.Text)
 	}
--- a/internal/cluster/message/message.go
+++ b/internal/cluster/message/message.go
@@ -43,9 +43,9 @@
 	// Pass hands an entry to the next in the chain. Without the entry, the next one most
 	// likely holds it.
 	Pass struct {
-		Rank   uint64 `json:"r"`
-		Digest uint64 `json:"d"`
-		Entry  *Entry `json:"n,omitempty"`
+		Rank    uint64 `json:"r"`
+		Lineage uint64 `json:"l"`
+		Entry   *Entry `json:"n,omitempty"`
 	}
 	// Ack tells the one before that all from here to the tail hold a rank.
 	Ack struct {
