Sight: events for a kind of which no process is known, and for what an agent learns

Cause: the logs of the incident could not tell whether agents lack the changes or do not pass them on. No logic is changed.

--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -45,6 +45,9 @@
 	Process string
 	Role    string
 	Epoch   uint64
+
+	ProcessKind string // of KindAbsent and KindPresent
+	Count       int    // of KindPresent: how many are known
 }
 
 // EventKind is the kind of an event.
@@ -57,6 +60,8 @@
 	ProcessGone                  // a process is known to have ended
 	RoleTaken                    // by this process
 	RoleLost                     // to another process
+	KindAbsent                   // no other process of a kind is known to be alive
+	KindPresent                  // processes of a kind are known, and none was before
 )
 
 // Output is what is to be done. The outcomes of calls come back by HandleExchangeResult and
@@ -86,6 +91,7 @@
 	antiEntropy       *antientropy.Repairer
 	membersChanged    bool // the processes known have changed
 	joined            bool
+	presence          presence
 	nextMaintenanceAt int64
 	out               Output
 }
@@ -96,7 +102,7 @@
 	for i, d := range cfg.Roles {
 		names[i] = d.Name
 	}
-	m := &Machine{cfg: cfg, self: self, gossiper: gossip.New(now, cfg.Gossip, self, seeds, rng), antiEntropy: antientropy.New(cfg.AntiEntropy),
+	m := &Machine{cfg: cfg, self: self, gossiper: gossip.New(now, cfg.Gossip, self, seeds, rng), antiEntropy: antientropy.New(cfg.AntiEntropy), presence: newPresence(now),
 		detector: failuredetector.New(now, cfg.FailureDetector, failuredetector.Peer{Addr: self.Addr, Zone: self.Zone}), leases: lease.New(self.Addr, cfg.ClaimDelay, names...)}
 	m.gossiper.OnUpdate = m.onUpdate
 	return m
@@ -237,6 +243,7 @@
 		}
 		m.detector.SetPeers(now, peers)
 	}
+	m.reportPresence(now)
 	out := m.detector.Tick(now)
 	for _, addr := range out.Heartbeats {
 		m.gossiper.CompareChecksums(addr)
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"saddleport/internal/cluster/chain"
 	"saddleport/internal/cluster/gossip"
 	"saddleport/internal/node/admin"
 	"saddleport/internal/node/agentapi"
@@ -77,12 +78,23 @@
 	}
 }
 
+// logConfiguration logs the configurations that this agent learns of.
+func logConfiguration(entry gossip.Entry) {
+	if entry.Key == agentapi.ConfigurationKey {
+		events.ConfigLearned.Log("revision", chain.RevisionOf(entry.Version))
+	}
+}
+
 // Run is the program: it serves until ctx ends, and then for as long as its proxy asks.
 func Run(ctx context.Context, file *nodesettings.File) error {
 	settings := file.Current()
 	n := peer.NewNode(file, gossip.KindAgent)
 	f := &feed{node: n, incarnation: strconv.FormatInt(time.Now().UnixNano(), 36)}
 	outliers := newOutlierAggregator(n)
+	n.OnUpdate = func(entry gossip.Entry) {
+		logConfiguration(entry)
+		outliers.onUpdate(entry)
+	}
 	loopback, internal := http.NewServeMux(), http.NewServeMux()
 	agentapi.FeedCall.On(loopback, f.answer)
 	n.Serve(internal)
--- a/internal/node/agent/outliers.go
+++ b/internal/node/agent/outliers.go
@@ -32,15 +32,16 @@
 }
 
 func newOutlierAggregator(n *peer.Node) *outlierAggregator {
-	b := &outlierAggregator{node: n, role: outlier.NewAggregatorRole(outlier.DefaultConfig, n.Self.Addr), wake: make(chan struct{}, 1), quotas: newQuotaService(n)}
-	n.OnUpdate = func(i gossip.Entry) {
-		var a outlier.Assignment
-		if i.Key == agentapi.EjectionsKey && json.Unmarshal(i.Value, &a) == nil {
-			b.role.Observe(i.Version, a)
-		}
-		b.quotas.onUpdate(i)
+	return &outlierAggregator{node: n, role: outlier.NewAggregatorRole(outlier.DefaultConfig, n.Self.Addr), wake: make(chan struct{}, 1), quotas: newQuotaService(n)}
+}
+
+// onUpdate takes an entry that was stored. The node must be locked.
+func (b *outlierAggregator) onUpdate(entry gossip.Entry) {
+	var assignment outlier.Assignment
+	if entry.Key == agentapi.EjectionsKey && json.Unmarshal(entry.Value, &assignment) == nil {
+		b.role.Observe(entry.Version, assignment)
 	}
-	return b
+	b.quotas.onUpdate(entry)
 }
 
 // serve answers the proxy and the other agents.
--- a/internal/node/events/catalogue.go
+++ b/internal/node/events/catalogue.go
@@ -18,6 +18,8 @@
 	ProcessGone     = add(111, "process-gone", log.InfoLevel, "another process is known to have ended", "")
 	RoleTaken       = add(112, "role-taken", log.InfoLevel, "this process is the first live one in the order of a singleton role, and holds it from now on under `epoch`", "")
 	RoleLost        = add(113, "role-lost", log.InfoLevel, "another process has taken a singleton role over under a higher epoch", "")
+	KindAbsent      = add(114, "kind-absent", log.WarnLevel, "no other process of this kind is known to be alive: nothing goes to them, and what they know does not come here", "`show` the processes of this kind; if they run, look at the network, then at whom they know")
+	KindPresent     = add(115, "kind-present", log.InfoLevel, "processes of this kind are known, and none was before", "")
 
 	ConfigInForce  = add(201, "configuration-in-force", log.InfoLevel, "requests are handled by this revision from now on", "")
 	ConfigUnusable = add(202, "configuration-unusable", log.ErrorLevel, "the agent delivered a configuration that cannot be put in force; the old one stays", "compare the releases of the programs")
@@ -33,7 +35,8 @@
 	EjectionChanged = add(211, "ejection-changed", log.DebugLevel, "a server or a caller that is ejected became much slower or faster", "")
 	AllowanceUsedUp = add(212, "allowance-used-up", log.InfoLevel, "a request was answered 429: the allowance of its caller is used up here for now; nothing of it was executed", "`show allowance`; a larger `rate` in the configuration")
 
-	ProxyGone = add(301, "proxy-gone", log.InfoLevel, "after SIGTERM: the proxy has ended, and the agent ends", "")
+	ProxyGone     = add(301, "proxy-gone", log.InfoLevel, "after SIGTERM: the proxy has ended, and the agent ends", "")
+	ConfigLearned = add(302, "configuration-learned", log.InfoLevel, "gossip has brought this revision; the proxy is fed it", "")
 
 	ConfigAcknowledged = add(401, "configuration-acknowledged", log.InfoLevel, "a configuration is durable and is announced to all processes", "")
 	ConfigInvalid      = add(402, "configuration-invalid", log.WarnLevel, "an operator sent a configuration that is not valid", "`path` says where it is wrong")
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -14,6 +14,7 @@
 	"saddleport/internal/cluster/lease"
 	"saddleport/internal/cluster/member"
 	"saddleport/internal/cluster/outlier"
+	"saddleport/internal/node/admin"
 	"saddleport/internal/node/agentapi"
 	"saddleport/internal/node/events"
 	"saddleport/internal/node/nodesettings"
@@ -196,6 +197,10 @@
 			events.RoleTaken.Log("role", x.Role, "epoch", lease.TermOf(x.Epoch))
 		case member.RoleLost:
 			events.RoleLost.Log("role", x.Role, "epoch", lease.TermOf(x.Epoch), "to", x.Process)
+		case member.KindAbsent:
+			events.KindAbsent.Log("kind", programOf(x.ProcessKind), "after_ms", n.Now()/1000)
+		case member.KindPresent:
+			events.KindPresent.Log("kind", programOf(x.ProcessKind), "count", x.Count)
 		}
 	}
 	n.calls.Add(len(out.Probes) + len(out.Calls))
@@ -207,6 +212,14 @@
 	}
 }
 
+// programOf returns the program that runs processes of a kind.
+func programOf(kind string) string {
+	if kind == gossip.KindControlPlane {
+		return admin.ControlPlane
+	}
+	return admin.Agent
+}
+
 // probe carries a probe of the failure detector.
 func (n *Node) probe(ctx context.Context, q failuredetector.Probe) {
 	defer n.calls.Done()
