--- a/internal/lab/measure/command.go
+++ b/internal/lab/measure/command.go
@@ -20,7 +20,7 @@
 // Command is the measurements' command line.
 func Command() *cobra.Command {
 	root := &cobra.Command{Use: "measure", Short: "Measure the system's machines in memory, in virtual time"}
-	root.AddCommand(coreCommand(), cutCommand(), catchUpCommand(), capacityCommand(), newsCommand(), laggardsCommand(), allowCommand())
+	root.AddCommand(coreCommand(), cutCommand(), catchUpCommand(), capacityCommand(), newsCommand(), rejoinCommand(), laggardsCommand(), allowCommand())
 	return root
 }
 
--- a/internal/node/fleettest/losses_test.go
+++ b/internal/node/fleettest/losses_test.go
@@ -7,9 +7,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"saddleport/internal/cluster/gossip"
 	"saddleport/internal/lab/standin"
 	"saddleport/internal/node/admin"
+	"saddleport/internal/node/agent"
 	"saddleport/internal/node/controlplane"
+	"saddleport/internal/node/proxy"
 )
 
 // Several core processes on loopback: an order sent again and another one under its number, a
@@ -93,3 +96,44 @@
 	})
 	return text
 }
+
+// The control plane ends as a whole, in order or killed, and every agent knows that it has. Once it
+// is back the agents hear of what it acknowledges (issue 52).
+func TestControlPlaneBack(t *testing.T) {
+	Convey("A change that a control plane acknowledges after all of it was restarted", t, func() {
+		f := NewFleet(t)
+		replace := func(revision int) {
+			Until("an order acknowledged", func() bool {
+				code, _ := f.call("POST", f.control(1), "/Config.Replace", Config(revision, fmt.Sprint("v", revision)))
+				return code == 200
+			})
+		}
+		inForce := func(revision int) {
+			for m := 11; m <= 12; m++ {
+				Until("the change in force", func() bool { return f.shows(admin.Proxy, m, fmt.Sprint("routes of version ", revision)) })
+			}
+		}
+		for m := 1; m <= 3; m++ {
+			f.start(admin.ControlPlane, m, true, controlplane.Run)
+		}
+		for m := 11; m <= 12; m++ {
+			f.start(admin.Agent, m, true, agent.Run)
+			f.start(admin.Proxy, m, true, proxy.Run)
+		}
+		replace(1)
+		inForce(1)
+		for revision := 2; revision <= 3; revision++ {
+			for m := 1; m <= 3; m++ {
+				f.stop(admin.ControlPlane, m)
+			}
+			for m := 11; m <= 12; m++ {
+				Until("its end known", func() bool { return !f.shows(admin.Agent, m, gossip.KindControlPlane+" ") })
+			}
+			for m := 1; m <= 3; m++ {
+				f.start(admin.ControlPlane, m, false, controlplane.Run)
+			}
+			replace(revision)
+			inForce(revision)
+		}
+	})
+}
