Processes that believed each other dead call each other again

Cause: heartbeats, gossip and comparisons go to processes that are thought alive, and the seeds are asked only while nobody is known. Once agents and control plane had declared each other dead, or the control plane had started anew, neither side ever called the other. Change: each process calls lost processes and seeds that are not known to be alive, drawn so that all together call each of them a few times a second, rarely after ten minutes. A process that has announced its end does not refute it any more; a process that is heard again has no backoff left.

--- a/internal/cluster/gossip/gossiper.go
+++ b/internal/cluster/gossip/gossiper.go
@@ -69,13 +69,14 @@
 	GossipInterval   int64 // between two messages of entries
 	JoinRetryMin     int64 // between two attempts to reach the seeds, at first
 	JoinRetryMax     int64 // and at most
+	RejoinInterval   int64 // between two draws of lost processes to call
 	PeerBackoff      int64 // a peer that did not answer is left alone for so long, times its failures
 	PeerBackoffMax   int64 // at most
 	MaxCallsInFlight int   // further calls are dropped; the next comparison makes up for them
 }
 
 // DefaultConfig is the configuration for service.
-var DefaultConfig = Config{Fanout: 2, MaxTransmits: 2, GossipInterval: 100_000, JoinRetryMin: 60_000, JoinRetryMax: 2_000_000, PeerBackoff: 1_000_000, PeerBackoffMax: 8_000_000,
+var DefaultConfig = Config{Fanout: 2, MaxTransmits: 2, GossipInterval: 100_000, JoinRetryMin: 60_000, JoinRetryMax: 2_000_000, RejoinInterval: 500_000, PeerBackoff: 1_000_000, PeerBackoffMax: 8_000_000,
 	MaxCallsInFlight: 64}
 
 type peerBackoff struct {
@@ -113,17 +114,19 @@
 	peers    map[string]Process
 	backoffs map[string]peerBackoff
 	inFlight map[uint64]callState
+	lost     lostPeers
+	leaving  bool // its end was announced: it does not refute that
 	lastID   uint64
 	outbox   []OutboundCall
 
-	nextJoinAt, joinInterval, nextGossipAt int64
-	differencesFound                       int // by comparisons
+	nextJoinAt, joinInterval, nextGossipAt, nextRejoinAt int64
+	differencesFound                                     int // by comparisons
 }
 
 // New returns the gossiper of a process that knows itself and some addresses to ask.
 func New(now int64, cfg Config, self Process, seeds []string, rng *rand.Rand) *Gossiper {
 	t := &Gossiper{Store: NewStore(), cfg: cfg, self: self, rng: rng, seeds: seeds, peers: make(map[string]Process),
-		backoffs: make(map[string]peerBackoff), inFlight: make(map[uint64]callState), joinInterval: cfg.JoinRetryMin}
+		backoffs: make(map[string]peerBackoff), inFlight: make(map[uint64]callState), lost: newLostPeers(), joinInterval: cfg.JoinRetryMin}
 	t.Put(now, t.selfEntry(initialVersion), true)
 	return t
 }
@@ -137,7 +140,10 @@
 }
 
 // AnnounceLeave informs the others that this process ends.
-func (g *Gossiper) AnnounceLeave(now int64) { g.MarkDead(now, g.self.Addr) }
+func (g *Gossiper) AnnounceLeave(now int64) {
+	g.leaving = true
+	g.MarkDead(now, g.self.Addr)
+}
 
 // MarkDead announces that a process is gone. One that is alive refutes it.
 func (g *Gossiper) MarkDead(now int64, addr string) {
@@ -150,7 +156,7 @@
 // Put stores an entry of this process or of another, to be passed on, and reports whether it
 // was newer.
 func (g *Gossiper) Put(now int64, i Entry, allZones bool) bool {
-	if i.Key == ProcessPrefix+g.self.Addr && i.Deleted() { // we live
+	if i.Key == ProcessPrefix+g.self.Addr && i.Deleted() && !g.leaving { // we live
 		i = g.selfEntry((i.Version/2 + 1) * 2)
 		allZones = true
 	}
@@ -165,8 +171,11 @@
 		p := Process{Addr: addr}
 		if i.Deleted() || json.Unmarshal(i.Value, &p) != nil {
 			delete(g.peers, addr)
+			g.lost.add(now, addr)
 		} else {
 			g.peers[addr] = p
+			g.lost.remove(addr)
+			delete(g.backoffs, addr) // it has answered someone
 		}
 	}
 	if g.OnUpdate != nil {
@@ -292,7 +301,8 @@
 	g.startCall(callState{purpose: compareDigest, to: addr}, ExchangeRequest{Digest: &sums})
 }
 
-// Tick asks the seeds while no other process is known, and passes entries on.
+// Tick asks the seeds while no other process is known, calls lost processes now and then, and
+// passes entries on.
 func (g *Gossiper) Tick(now int64) {
 	if len(g.peers) == 0 && now >= g.nextJoinAt {
 		g.nextJoinAt, g.joinInterval = now+g.joinInterval, min(g.joinInterval*3/2, g.cfg.JoinRetryMax)
@@ -305,6 +315,7 @@
 	if len(g.peers) > 0 {
 		g.joinInterval = g.cfg.JoinRetryMin
 	}
+	g.rejoin(now)
 	if g.Store.NothingPending() || now < g.nextGossipAt {
 		return
 	}
@@ -314,13 +325,22 @@
 
 // NextTick returns when Tick has something to do; 0: when something comes in.
 func (g *Gossiper) NextTick() int64 {
-	switch {
-	case len(g.peers) == 0:
-		return max(g.nextJoinAt, 1)
-	case !g.Store.NothingPending():
-		return max(g.nextGossipAt, 1)
+	next := int64(0)
+	due := func(at int64) {
+		if at = max(at, 1); next == 0 || at < next {
+			next = at
+		}
+	}
+	if len(g.peers) == 0 {
+		due(g.nextJoinAt)
+	}
+	if !g.Store.NothingPending() {
+		due(g.nextGossipAt)
+	}
+	if g.hasRejoinCandidates() {
+		due(g.nextRejoinAt)
 	}
-	return 0
+	return next
 }
 
 // sendPending passes pending entries on: to some processes of this zone, and what began here
@@ -360,9 +380,10 @@
 	}
 }
 
-// Purge removes old tombstones, and backoffs that are over.
+// Purge removes old tombstones, backoffs that are over, and processes that were lost long ago.
 func (g *Gossiper) Purge(now int64) {
 	g.Store.PurgeTombstones(now)
+	g.lost.expire(now)
 	for addr, r := range g.backoffs {
 		if now > r.until+g.cfg.PeerBackoffMax {
 			delete(g.backoffs, addr)
