A configuration is announced only once this machine's disk has it

After a loss of power proxies could act on a configuration that the control plane no longer knew. Change: the announcement goes through the disk's queue, as messages and answers do. runDisk is split. Ruled out: announcing by the head alone would cost the round trip of the chain.

--- a/internal/node/controlplane/replica.go
+++ b/internal/node/controlplane/replica.go
@@ -58,19 +58,24 @@
 	done             chan struct{}
 	replica          *replica.Machine             // owned by the loop
 	callers          map[string]chan chain.Result // the same
-	announcedVersion uint64                       // of the configuration; owned by the loop
+	announcedVersion uint64                       // of the configuration, or about to be; owned by the loop
 	announcedEpoch   uint64                       // of the view announced; the same
 	hadQuorum        bool                         // when it was last looked at; the same
 
-	mu               sync.Mutex
-	queue            []replica.Output
-	servers          []byte       // to be written beside what promises rest on; nil: unchanged
-	lastAcknowledged *chain.Entry // the same
-	diskWake         chan struct{}
-	writeStartedAt   time.Time // when the write at hand began; zero: none is
-	outboxes         map[outboxKey]*outbox
-	outboxesDone     sync.WaitGroup
-	running          context.Context
+	mu             sync.Mutex
+	queue          []diskJob
+	servers        []byte // to be written beside what promises rest on; nil: unchanged
+	diskWake       chan struct{}
+	writeStartedAt time.Time // when the write at hand began; zero: none is
+	outboxes       map[outboxKey]*outbox
+	outboxesDone   sync.WaitGroup
+	running        context.Context
+}
+
+// diskJob is the output of a step on its way through the disk.
+type diskJob struct {
+	replica.Output
+	announce *chain.Entry // an entry that is known to be acknowledged; nil: none was before
 }
 
 func nonce() string {
@@ -91,6 +96,7 @@
 	if raw, err := disk.Get(keyLastAcknowledged); err == nil && raw != nil {
 		var e chain.Entry
 		if json.Unmarshal(raw, &e) == nil {
+			c.announcedVersion = e.Version
 			c.announce(e)
 		}
 	}
@@ -170,47 +176,48 @@
 	return seeds
 }
 
-// process queues what a step returned, and announces what is acknowledged. It is called on the
-// loop.
+// process queues what a step returned, and announces the view. It is called on the loop.
 func (c *replicaRunner) process(out replica.Output) {
-	if out.Persist != nil || len(out.Send) > 0 || len(out.Results) > 0 {
-		c.enqueue(out)
+	job := diskJob{Output: out, announce: c.newlyAcknowledged()}
+	if out.Persist != nil || len(out.Send) > 0 || len(out.Results) > 0 || job.announce != nil {
+		c.enqueue(job)
 		c.wake()
 	}
-	c.announceAcknowledged()
 	c.announceView()
 }
 
 // enqueue makes an output wait for the disk. Behind a disk that stalls for long, messages are
-// dropped, as a network may do; what is to be written and answered is not.
-func (c *replicaRunner) enqueue(out replica.Output) {
+// dropped, as a network may do; what is to be written, announced and answered is not.
+func (c *replicaRunner) enqueue(job diskJob) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.queue) < maxQueuedOutputs {
-		c.queue = append(c.queue, out)
+		c.queue = append(c.queue, job)
 		return
 	}
 	last := &c.queue[len(c.queue)-1]
-	last.Results = append(last.Results, out.Results...) // as many as wait at most
-	if out.Persist == nil {
+	last.Results = append(last.Results, job.Results...) // as many as wait at most
+	if job.announce != nil {
+		last.announce = job.announce
+	}
+	if job.Persist == nil {
 		return
 	}
-	if last.Persist != nil && out.Persist.Entry == nil {
-		out.Persist.Entry = last.Persist.Entry
+	if last.Persist != nil && job.Persist.Entry == nil {
+		job.Persist.Entry = last.Persist.Entry
 	}
-	last.Persist = out.Persist
+	last.Persist = job.Persist
 }
 
-func (c *replicaRunner) announceAcknowledged() {
+// newlyAcknowledged returns the stored entry if it has become known to be acknowledged. It is
+// announced only behind the disk: the tail of a chain acknowledges what it is about to write.
+func (c *replicaRunner) newlyAcknowledged() *chain.Entry {
 	stored := c.replica.Chain.Stored()
 	if stored.Version <= c.announcedVersion || c.replica.Chain.Acknowledged() < stored.Version {
-		return
+		return nil
 	}
-	c.announce(stored)
-	c.mu.Lock()
-	c.lastAcknowledged = &stored
-	c.mu.Unlock()
-	c.wake()
+	c.announcedVersion = stored.Version
+	return &stored
 }
 
 func (c *replicaRunner) announceView() {
@@ -235,7 +242,6 @@
 
 // announce gossips an acknowledged configuration.
 func (c *replicaRunner) announce(e chain.Entry) {
-	c.announcedVersion = e.Version
 	if ch, err := routeconfig.Parse(e.Content); err == nil {
 		events.ConfigAcknowledged.Log("revision", ch.Revision)
 		c.node.Put(gossip.Entry{Key: agentapi.ConfigurationKey, Version: e.Version, Value: json.RawMessage(e.Content)})
--- a/internal/node/controlplane/store.go
+++ b/internal/node/controlplane/store.go
@@ -109,7 +109,7 @@
 }
 
 // runDisk is the disk goroutine. What is queued is written together. A disk that refuses is
-// tried again, and nothing is sent or answered until it has written.
+// tried again, and nothing is sent, announced or answered until it has written.
 func (c *replicaRunner) runDisk(ctx context.Context) {
 	for {
 		select {
@@ -118,34 +118,12 @@
 		case <-c.diskWake:
 		}
 		c.mu.Lock()
-		batch, servers, known := c.queue, c.servers, c.lastAcknowledged
-		c.queue, c.servers, c.lastAcknowledged = nil, nil, nil
+		batch, servers := c.queue, c.servers
+		c.queue, c.servers = nil, nil
 		c.writeStartedAt = time.Now()
 		c.mu.Unlock()
-		var r replica.Record
-		dirty := false
-		for _, out := range batch {
-			if out.Persist != nil {
-				dirty, r.State, r.StoredEpoch = true, out.Persist.State, out.Persist.StoredEpoch
-				if out.Persist.Entry != nil {
-					r.Entry = out.Persist.Entry
-				}
-			}
-		}
-		for dirty && ctx.Err() == nil {
-			err := c.persist(r)
-			if err == nil {
-				break
-			}
-			events.DiskRefuses.Log("err", err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(diskRetryInterval):
-			}
-			if s, err := storage.Open(c.dataDir); err == nil { // a store that failed once takes no more writes
-				c.store.Close()
-				c.store = s
-			}
+		if record, dirty := recordOf(batch); dirty {
+			c.persistUntilDone(ctx, record)
 		}
 		c.mu.Lock()
 		c.writeStartedAt = time.Time{}
@@ -156,19 +134,62 @@
 		if servers != nil { // no promise rests on it: if it fails, the next change is written
 			c.store.Put(storage.Entry{Key: keyRememberedServers, Value: servers})
 		}
-		for _, out := range batch {
-			c.enqueueMessages(out.Send)
-			if len(out.Results) > 0 {
-				results := out.Results
-				c.do(ctx, func() { c.deliver(results) })
-			}
+		c.release(ctx, batch)
+	}
+}
+
+// recordOf returns what a batch wants written, and whether it wants anything.
+func recordOf(batch []diskJob) (record replica.Record, dirty bool) {
+	for _, job := range batch {
+		if job.Persist == nil {
+			continue
+		}
+		dirty, record.State, record.StoredEpoch = true, job.Persist.State, job.Persist.StoredEpoch
+		if job.Persist.Entry != nil {
+			record.Entry = job.Persist.Entry
+		}
+	}
+	return record, dirty
+}
+
+// persistUntilDone writes a record, again and again if the disk refuses, until ctx ends.
+func (c *replicaRunner) persistUntilDone(ctx context.Context, record replica.Record) {
+	for ctx.Err() == nil {
+		err := c.persist(record)
+		if err == nil {
+			return
+		}
+		events.DiskRefuses.Log("err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(diskRetryInterval):
+		}
+		if s, err := storage.Open(c.dataDir); err == nil { // a store that failed once takes no more writes
+			c.store.Close()
+			c.store = s
+		}
+	}
+}
+
+// release sends, answers and announces what has waited for the disk.
+func (c *replicaRunner) release(ctx context.Context, batch []diskJob) {
+	var acknowledged *chain.Entry
+	for _, job := range batch {
+		c.enqueueMessages(job.Send)
+		if len(job.Results) > 0 {
+			c.do(ctx, func() { c.deliver(job.Results) })
 		}
-		if known != nil { // nothing rests on it either, and it is large: last
-			if raw, err := json.Marshal(known); err == nil {
-				c.store.Put(storage.Entry{Key: keyLastAcknowledged, Value: raw})
-			}
+		if job.announce != nil {
+			acknowledged = job.announce
 		}
 	}
+	if acknowledged == nil {
+		return
+	}
+	c.do(ctx, func() { c.announce(*acknowledged) })
+	if raw, err := json.Marshal(acknowledged); err == nil { // nothing rests on it, and it is large: last
+		c.store.Put(storage.Entry{Key: keyLastAcknowledged, Value: raw})
+	}
 }
 
 func (c *replicaRunner) persist(r replica.Record) error {
--- a/internal/node/controlplane/store_test.go
+++ b/internal/node/controlplane/store_test.go
@@ -147,9 +147,7 @@
 		over := make(chan struct{})
 		go func() { defer close(over); c.runDisk(ctx) }()
 		seen, held := entry(3), entry(4)
-		c.mu.Lock()
-		c.lastAcknowledged = &seen
-		c.mu.Unlock()
+		c.enqueue(diskJob{announce: &seen})
 		c.wake()
 		waitUntil(t, "the acknowledged entry on disk", func() bool {
 			raw, err := c.store.Get(keyLastAcknowledged)
@@ -170,6 +168,39 @@
 	})
 }
 
+// The tail of a chain acknowledges an entry in the step that stores it. Other processes hear of
+// it only once the disk has it: after a loss of power it might else be in force and unknown.
+func TestAnnouncedBehindDisk(t *testing.T) {
+	Convey("A configuration that a chain of one takes while its disk stalls", t, func() {
+		events.To(io.Discard)
+		f := newTestMachines(t)
+		boot := f.settings(1, true)
+		boot.Seeds = boot.Seeds[:1]
+		c, err := newReplicaRunner(peer.NewNode(nodesettings.Fixed(boot), gossip.KindControlPlane), boot)
+		So(err, ShouldBeNil)
+		entry := chain.NewEntry(3, []byte(testConfiguration(3)))
+		_, out := c.replica.Put(c.now(), entry)
+		c.process(out)
+		So(c.replica.Chain.Acknowledged(), ShouldEqual, entry.Version)
+		_, known := c.node.Store.Get(agentapi.ConfigurationKey)
+		So(known, ShouldBeFalse)
+
+		ctx, cancel := context.WithCancel(context.Background())
+		over := make(chan struct{})
+		go func() { defer close(over); c.runDisk(ctx) }()
+		for !known { // the loop of the machine: it takes what the disk releases
+			(<-c.commands)()
+			_, known = c.node.Store.Get(agentapi.ConfigurationKey)
+		}
+		raw, err := c.store.Get(keyEntry)
+		So(err, ShouldBeNil)
+		So(raw, ShouldNotBeNil)
+		cancel()
+		<-over
+		So(c.store.Close(), ShouldBeNil)
+	})
+}
+
 // A thousand configurations leave a disk that is not much larger than a few of them.
 func TestDiskStaysSmall(t *testing.T) {
 	Convey("After a thousand orders of 100 kB", t, func() {
