--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	internalListener, err := transport.Listen(ctx, settings.PeerAddr())
+	internalListener, err := transport.Listen(ctx, settings.PeerListenAddr())
 	if err != nil {
 		return err
 	}
--- a/internal/node/controlplane/server.go
+++ b/internal/node/controlplane/server.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	lnInner, err := transport.Listen(ctx, boot.PeerAddr())
+	lnInner, err := transport.Listen(ctx, boot.PeerListenAddr())
 	if err != nil {
 		return err
 	}
--- a/internal/node/nodesettings/settings.go
+++ b/internal/node/nodesettings/settings.go
@@ -17,6 +17,7 @@
 	Name, Role, IP, Zone, Region  string
 	Regions                       map[string]string // by zone
 	LoopbackIP                    string            // of the machine's own loopback
+	SharedHost                    bool              // several machines are played on one host: see PeerListenAddr
 	Front, Readiness, Control     string            // addresses to listen on; "": none
 	FirstPort, LastPort           int               // of the range between processes
 	Seeds                         []string
@@ -76,7 +77,7 @@
 			RetrySlack: r.At("bounds.retry_budget_slack").Number()},
 	}
 	if ip := r.At("loopback_ip").Text(); ip != "" { // of our own: several machines played on one
-		b.LoopbackIP = ip
+		b.LoopbackIP, b.SharedHost = ip, true
 	}
 	for _, zone := range r.At("zones").Names() {
 		b.Regions[zone] = r.At("zones." + zone).Text()
@@ -103,6 +104,25 @@
 // PeerAddr is where a process answers other processes.
 func (b *Settings) PeerAddr() string { return net.JoinHostPort(b.IP, strconv.Itoa(b.FirstPort)) }
 
+// PeerListenAddr is the address that a process listens on for other processes. Where several
+// machines are played on one host it is the machine's own loopback address, so that a relay may
+// stand between it and PeerAddr.
+func (b *Settings) PeerListenAddr() string {
+	if b.SharedHost {
+		return net.JoinHostPort(b.LoopbackIP, strconv.Itoa(b.FirstPort))
+	}
+	return b.PeerAddr()
+}
+
+// PeerSourceIP is the address that a process calls others from; empty: the kernel picks it. Where
+// several machines are played on one host, it tells a relay whose call it is.
+func (b *Settings) PeerSourceIP() string {
+	if b.SharedHost {
+		return b.LoopbackIP
+	}
+	return ""
+}
+
 // AgentAddr is where an agent answers the proxy on its machine.
 func (b *Settings) AgentAddr() string {
 	return net.JoinHostPort(b.LoopbackIP, strconv.Itoa(b.FirstPort+1))
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -72,7 +72,7 @@
 // NewNode returns a node that knows itself alone.
 func NewNode(set *nodesettings.File, kind string) *Node {
 	boot := set.Current()
-	n := &Node{Settings: set, Client: rpc.NewClient(peerDialTimeout), StartedAt: time.Now(), Changed: make(chan struct{}), wake: make(chan struct{}, 1)}
+	n := &Node{Settings: set, Client: rpc.NewClientFrom(boot.PeerSourceIP(), peerDialTimeout), StartedAt: time.Now(), Changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 	n.Self = gossip.Process{Addr: boot.PeerAddr(), Name: boot.Name, Kind: kind, Zone: boot.Zone, Region: boot.Region, Control: boot.Control}
 	n.Members = member.New(n.Now(), member.DefaultConfig(OrphanedServersRole, OutlierRole), n.Self, boot.SeedPeers(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.Members.OnUpdate = n.onUpdate
--- a/internal/node/rpc/rpc.go
+++ b/internal/node/rpc/rpc.go
@@ -243,9 +243,16 @@
 type Client struct{ http *http.Client }
 
 // NewClient returns a client that dials within a time.
-func NewClient(dial time.Duration) *Client {
+func NewClient(dial time.Duration) *Client { return NewClientFrom("", dial) }
+
+// NewClientFrom returns a client that calls from an address of this host; empty: any.
+func NewClientFrom(ip string, dial time.Duration) *Client {
+	dialer := transport.Dialer(dial)
+	if ip != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
+	}
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{DialContext: transport.Dialer(dial).DialContext, MaxIdleConns: 64, MaxIdleConnsPerHost: 2,
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 64, MaxIdleConnsPerHost: 2,
 			MaxConnsPerHost: 8, IdleConnTimeout: idleTime / 2, DisableCompression: true, WriteBufferSize: 4 << 10,
 			ReadBufferSize: 4 << 10, ResponseHeaderTimeout: 10 * time.Second},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
