Soak, begun: plan, fleet, traffic, judge, report, command

saddlectl soak runs the built programs on loopback under faults drawn from a seed and changes without pause, and judges what clients, operator and servers recorded.

--- a/cmd/saddlectl/main.go
+++ b/cmd/saddlectl/main.go
@@ -10,6 +10,7 @@
 	"saddleport/internal/lab/answers"
 	"saddleport/internal/lab/measure"
 	"saddleport/internal/lab/modelcheck"
+	"saddleport/internal/lab/soak"
 	"saddleport/internal/lab/testcluster"
 	"saddleport/internal/node/cli"
 )
@@ -21,9 +22,9 @@
 	toolbox := cli.Toolbox()
 	measure := measure.Command()
 	measure.AddCommand(testcluster.Command(), answers.Command())
-	toolbox.AddCommand(modelcheck.Command(), measure, testcluster.DemoCommand())
+	toolbox.AddCommand(modelcheck.Command(), measure, testcluster.DemoCommand(), soak.Command())
 	if err := toolbox.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "saddlectl:", err)
-		os.Exit(1)
+		os.Exit(soak.ExitCode(err))
 	}
 }
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,252 @@
+// Package soak runs the system's real processes under overlapping faults and changes of the
+// configuration without pause, and has an independent judge hold every request and every
+// acknowledged change to account. Its parts: plan (what is played), fleet (processes, relays,
+// faults), traffic (servers, operator, clients) and judge.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saddleport/internal/lab/soak/fleet"
+	"saddleport/internal/lab/soak/judge"
+	"saddleport/internal/lab/soak/plan"
+	"saddleport/internal/lab/soak/traffic"
+)
+
+const (
+	startPatience = 60 * time.Second
+	readyInterval = 100 * time.Millisecond
+	lagShare      = 4                // one in so many changes that add a route is timed, at every proxy
+	lagProxies    = 8                // at most
+	endExplains   = 10 * time.Second // a start within this time after a fault on its machine is the fault's
+)
+
+// ErrNotReady is returned when the processes do not serve after their start.
+var ErrNotReady = errors.New("the processes do not serve within a minute of their start")
+
+// RuleEnded is what a process breaks that ends by itself.
+const RuleEnded = "ENDED"
+
+// Result is what came of a run.
+type Result struct {
+	Plan         *plan.Plan          `json:"-"`
+	Seed         uint64              `json:"seed"`
+	Processes    int                 `json:"processes"`
+	LengthS      float64             `json:"length_s"`
+	Sent         int                 `json:"changes_sent"`
+	Acknowledged int                 `json:"changes_acknowledged"`
+	Invalid      int                 `json:"invalid_sent"`
+	Newest       int64               `json:"newest_revision"`
+	Requests     int                 `json:"requests"`
+	Statuses     map[int]int         `json:"statuses"`
+	Reads        int                 `json:"reads"`
+	Leaves       int                 `json:"servers_left"`
+	JudgedTimely int                 `json:"requests_judged_for_timeliness"`
+	Faults       []fleet.Disturbance `json:"faults"`
+	Lags         []traffic.Lag       `json:"lags"`
+	Usage        []Usage             `json:"usage"`
+	Findings     []judge.Finding     `json:"findings"`
+}
+
+// Run plays a plan with the programs of a folder. Its files go below dir.
+func Run(ctx context.Context, p *plan.Plan, programs, dir string) (*Result, error) {
+	f, err := fleet.Start(p, programs, dir, fleet.DefaultBounds)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	r := &run{plan: p, fleet: f, recorder: traffic.NewRecorder(f.Now), control: traffic.NewControl(p.CoreMachines(), f.Control)}
+	return r.play(ctx)
+}
+
+type run struct {
+	plan     *plan.Plan
+	fleet    *fleet.Fleet
+	recorder *traffic.Recorder
+	control  *traffic.Control
+	clients  *traffic.Clients
+	operator *traffic.Operator
+	usage    *sampler
+	readyAt  time.Duration
+	lags     sync.WaitGroup
+	changes  atomic.Int64 // that added a route
+}
+
+func (r *run) play(ctx context.Context) (*Result, error) {
+	serving, endServing := context.WithCancel(ctx)
+	defer endServing()
+	servers, err := traffic.StartServers(serving, r.control, r.recorder, r.plan.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer servers.Wait()
+	defer endServing()
+	asking, endAsking := context.WithCancel(ctx)
+	defer endAsking()
+	r.operator = traffic.NewOperator(r.control, r.recorder, func(c judge.Change, prefix string) { r.timeChange(asking, c, prefix) })
+	r.clients = &traffic.Clients{FrontOf: r.fleet.Front, Current: r.operator.Current(), Recorder: r.recorder,
+		LifeOf: func(machine string, at time.Duration) int { return r.fleet.Started(machine, "proxy", at) }}
+	rng := rand.New(rand.NewPCG(r.plan.Seed, 31))
+	first, ok := r.operator.Begin(ctx, r.plan.Routes, rng)
+	if !ok || !r.waitUntilServing(ctx) {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		return nil, ErrNotReady
+	}
+	if err := r.fleet.Established(); err != nil {
+		return nil, err
+	}
+	r.readyAt = r.fleet.Now()
+	r.usage = startSampler(r.fleet)
+	var wait sync.WaitGroup
+	for i, machine := range r.plan.FrontMachines() {
+		wait.Go(func() { r.clients.Run(asking, machine, r.plan.Requests, r.plan.Seed+uint64(i)) })
+	}
+	changing, endChanging := context.WithCancel(asking)
+	wait.Go(func() { r.operator.Run(changing, first, r.plan.Changes, r.plan.Seed) })
+	r.strike(ctx)
+	endChanging()
+	endAsking()
+	wait.Wait()
+	r.lags.Wait()
+	end := r.fleet.Now()
+	r.readAtEnd(ctx, end)
+	usage := r.usage.stop()
+	endServing()
+	servers.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return r.result(end, usage), nil
+}
+
+// waitUntilServing waits until every proxy serves a request.
+func (r *run) waitUntilServing(ctx context.Context) bool {
+	client := &http.Client{Timeout: time.Second}
+	deadline := time.Now().Add(startPatience)
+	for _, machine := range r.plan.FrontMachines() {
+		for !r.ready(ctx, client, machine) {
+			if ctx.Err() != nil || time.Now().After(deadline) {
+				return false
+			}
+			time.Sleep(readyInterval)
+		}
+	}
+	return true
+}
+
+func (r *run) ready(ctx context.Context, client *http.Client, machine string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.fleet.Readiness(machine)+"/readiness", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// strike brings the plan's faults about, and returns at the end of the run.
+func (r *run) strike(ctx context.Context) {
+	begin := time.Now()
+	at := func(seconds float64) bool {
+		timer := time.NewTimer(time.Until(begin.Add(time.Duration(seconds * float64(time.Second)))))
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for _, fault := range r.plan.Faults {
+		if !at(fault.AtS) {
+			return
+		}
+		r.fleet.Strike(fault, ctx.Done())
+	}
+	at(r.plan.LengthS)
+}
+
+// timeChange measures how long some of the changes take until each proxy acts on them.
+func (r *run) timeChange(ctx context.Context, change judge.Change, prefix string) {
+	count := int(r.changes.Add(1))
+	if count%lagShare != 0 {
+		return
+	}
+	fronts := r.plan.FrontMachines()
+	for i := range min(len(fronts), lagProxies) {
+		machine := fronts[(count+i)%len(fronts)]
+		r.lags.Go(func() {
+			r.clients.MeasureLag(ctx, machine, prefix, change.Revision, change.AckedAt, r.plan.Seed+uint64(change.Revision))
+		})
+	}
+}
+
+// readAtEnd reads the configuration back until a machine hands it out.
+func (r *run) readAtEnd(ctx context.Context, end time.Duration) {
+	for r.fleet.Now() < end+r.fleet.Bounds.Contact && ctx.Err() == nil {
+		for _, machine := range r.plan.CoreMachines() {
+			if r.operator.Read(ctx, machine) == http.StatusOK {
+				return
+			}
+		}
+	}
+}
+
+// result judges the run.
+func (r *run) result(end time.Duration, usage []Usage) *Result {
+	record := r.recorder.Record()
+	record.End, record.Cores = end, r.plan.Cores
+	faults := r.fleet.Disturbances()
+	for _, machine := range slices.Concat(r.plan.CoreMachines(), r.plan.FrontMachines()) {
+		record.Disturbances = append(record.Disturbances, judge.Disturbance{Machine: machine, Core: plan.IsCore(machine), To: r.readyAt})
+	}
+	for _, d := range faults {
+		record.Disturbances = append(record.Disturbances, judge.Disturbance{Machine: d.Machine, Core: plan.IsCore(d.Machine), From: d.From, To: d.To,
+			Planned: d.Kind == plan.Terminate || d.Kind == plan.Reload, Harmless: d.Kind == plan.Reload})
+	}
+	b := r.fleet.Bounds
+	bounds := judge.Bounds{Contact: b.Contact, ConfigApply: b.ConfigApply, DowngradeSlack: b.DowngradeSlack, LossSlack: b.LossSlack, Drain: b.Drain}
+	out := &Result{Plan: r.plan, Seed: r.plan.Seed, Processes: r.plan.Processes(), LengthS: r.plan.LengthS, Requests: len(record.Requests), Reads: len(record.Reads),
+		Leaves: len(record.Leaves), Statuses: make(map[int]int), Faults: faults, Lags: r.recorder.Lags(), Usage: usage, JudgedTimely: judge.CountInTouch(record, bounds)}
+	for _, c := range record.Changes {
+		out.Sent++
+		if c.Routes == nil {
+			out.Invalid++
+		}
+		if c.AckedAt > 0 {
+			out.Acknowledged++
+			out.Newest = max(out.Newest, c.Revision)
+		}
+	}
+	for _, request := range record.Requests {
+		out.Statuses[request.Status]++
+	}
+	out.Findings = append(judge.Judge(record, bounds), r.endings()...)
+	return out
+}
+
+// endings finds processes that were started again although no fault struck them.
+func (r *run) endings() (findings []judge.Finding) {
+	for _, start := range r.fleet.Restarts() {
+		explained := slices.ContainsFunc(r.fleet.Disturbances(), func(d fleet.Disturbance) bool {
+			return d.Machine == start.Machine && d.From <= start.At && start.At <= d.To+endExplains
+		})
+		if !explained {
+			findings = append(findings, judge.Finding{Rule: RuleEnded, At: start.At, Process: start.Machine + "/" + start.Program, What: fmt.Sprintf("ended by itself; its output: %s", start.Log)})
+		}
+	}
+	return findings
+}
