--- a/internal/lab/soak/plan/plan.go
+++ b/internal/lab/soak/plan/plan.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -174,6 +175,8 @@
 	calmMaxS    = 14.0
 	seriesMost  = 4   // faults of a series
 	overlapMaxS = 3.0 // seconds between two faults of a series
+	faultMinS   = 0.2 // seconds that a fault lasts: as often 0.2 to 2 as 2 to 20, for time-outs are of all sizes
+	faultMaxS   = 20.0
 )
 
 // Draw fills a plan with faults from its seed: series that overlap, and calm between them.
@@ -209,7 +212,7 @@
 
 // drawFault draws one fault; large: it strikes a whole class.
 func (p *Plan) drawFault(rng *rand.Rand, at float64, large bool) Fault {
-	f := Fault{AtS: round(at), ForS: round(0.2 + 12*rng.Float64()*rng.Float64())}
+	f := Fault{AtS: round(at), ForS: round(faultMinS * math.Pow(faultMaxS/faultMinS, rng.Float64()))}
 	class := p.FrontMachines()
 	onCore := rng.IntN(2) == 0
 	if onCore {
--- /dev/null
+++ b/tools/soakmutants/main.go
@@ -0,0 +1,157 @@
+// Command soakmutants takes rules of the system out one at a time, each in a copy of the tree, and
+// runs a soak of each: a judge that has never caught anything proves nothing. It says which seed
+// finds which mutant, and ends with 1 if one is not found.
+//
+//	go run ./tools/soakmutants [--only NAME] [--length 45s] [--seeds 4] [--seed 1]
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// mutant is one rule taken out: in a file, one text is replaced by another.
+type mutant struct {
+	name, what    string
+	file          string
+	old, replaced string
+}
+
+var mutants = []mutant{
+	{"forgotten-peers", "processes that believed each other dead never call each other again (issue 52)",
+		"internal/cluster/gossip/rejoin.go", "if now < g.nextRejoinAt {", "if now >= 0 {"},
+	{"dropped-change", "one proxy drops the changes of 8 s in every 16",
+		"internal/node/proxy/proxy.go", "\tc, err := routeconfig.Parse(i.Value)\n", "\tif strings.HasSuffix(t.settings.Name, \"-2\") && time.Now().Unix()%16 < 8 {\n\t\treturn\n\t}\n\tc, err := routeconfig.Parse(i.Value)\n"},
+	{"late-change", "each change is applied 4 s late",
+		"internal/node/proxy/proxy.go", "\tt.routes.Use(p)\n", "\ttime.AfterFunc(4*time.Second, func() { t.routes.Use(p) })\n"},
+	{"older-change", "now and then the configuration before is put in force again",
+		"internal/node/proxy/proxy.go", "\tt.routes.Use(p)\n", "\tif before := t.routes.Plan(); before != nil && c.Revision%8 == 0 {\n\t\ttime.AfterFunc(time.Second, func() { t.routes.Use(before) })\n\t}\n\tt.routes.Use(p)\n"},
+	{"withdrawn-route", "a withdrawn route is served on",
+		"internal/front/gate/gate.go", "\tif route == nil {\n", "\tif route != nil {\n\t\tkept.Store(r.Path, p)\n\t} else if before, is := kept.Load(r.Path); is {\n\t\tp = before.(*Plan)\n\t\troute = p.Config.MatchRoute(r.Header.Get(\"Host\"), r.Path)\n\t}\n\tif route == nil {\n"},
+	{"invalid-taken", "weights that sum to 0 are valid",
+		"internal/cluster/routeconfig/routeconfig.go", "if sum <= 0 {", "if sum < 0 {"},
+	{"sent-twice", "a write is sent to a second server where the first is slow, as if it were idempotent",
+		"internal/front/gate/plan.go", "if r.Idempotent {\n", "if r.Idempotent || r.MaxAttempts > 0 {\n"},
+	{"answer-swapped", "one in a hundred answers is that of the request before",
+		"internal/front/gate/gate.go", "\t\t\treturn c.Put(closing(f.Hits[0].Value, keep))\n", "\t\t\tanswer := f.Hits[0].Value\n\t\t\tif before, is := last.Swap(answer).(string); is && g.number.Add(1)%100 == 0 {\n\t\t\t\tanswer = before\n\t\t\t}\n\t\t\treturn c.Put(closing(answer, keep))\n"},
+	{"records-unordered", "the records of a gathered answer are not merged by their order",
+		"internal/front/gate/gate.go", "return cmp.Compare(b, a) })", "return 0 })"},
+	{"connection-closed", "one in two hundred connections is closed while its request is at a server",
+		"internal/front/gate/gate.go", "\t\tif f.Ending == exchange.Answered {\n", "\t\tif g.number.Add(1)%200 == 0 {\n\t\t\treturn false\n\t\t}\n\t\tif f.Ending == exchange.Answered {\n"},
+	{"drain-ignored", "a server that is draining is asked as before",
+		"internal/node/proxy/proxy.go", "\t\trow.State = choice.Draining\n", "\t\trow.State = choice.Ready\n"},
+	{"stale-read", "the tail does not ask whether its view stands, nor a machine whether it has a quorum",
+		"internal/node/controlplane/handover.go", "func (c *replicaRunner) requireQuorum(ctx context.Context) error {\n", "func (c *replicaRunner) requireQuorum(ctx context.Context) error {\n\tif c != nil {\n\t\treturn nil\n\t}\n"},
+}
+
+// support is code that some mutants need beside their change.
+var support = map[string]string{
+	"withdrawn-route": "package gate\n\nimport \"sync\"\n\nvar kept sync.Map\n",
+	"answer-swapped":  "package gate\n\nimport \"sync/atomic\"\n\nvar last atomic.Value\n",
+}
+
+// staleReadMachine is the second half of the mutant stale-read.
+var staleReadMachine = mutant{file: "internal/node/controlplane/replica.go", old: "chain.Mutations{}", replaced: "chain.Mutations{StaleRead: true}"}
+
+var errText = errors.New("the text to replace is not there once: the mutant is out of date")
+
+func main() {
+	only := flag.String("only", "", "the mutant to run; empty: all")
+	length := flag.Duration("length", 45*time.Second, "of each soak")
+	seeds := flag.Int("seeds", 4, "soaks of each mutant at most")
+	seed := flag.Uint64("seed", 1, "the first")
+	flag.Parse()
+	missed := 0
+	for _, m := range mutants {
+		if *only != "" && *only != m.name {
+			continue
+		}
+		found, err := run(m, *length, *seeds, *seed)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "soakmutants: %s: %v\n", m.name, err)
+			os.Exit(1)
+		}
+		if found == "" {
+			missed++
+			found = "NOT FOUND"
+		}
+		fmt.Printf("%-18s %-90s %s\n", m.name, m.what, found)
+	}
+	if missed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run builds a mutant and soaks it, seed after seed, until something is found.
+func run(m mutant, length time.Duration, seeds int, first uint64) (found string, err error) {
+	dir, err := os.MkdirTemp("", "soak-mutant-")
+	if err != nil {
+		return "", err
+	}
+	defer os.RemoveAll(dir)
+	tree := filepath.Join(dir, "tree")
+	if out, err := exec.Command("git", "checkout-index", "--all", "--prefix="+tree+"/").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	if err := m.apply(tree); err != nil {
+		return "", err
+	}
+	build := exec.Command("go", "build", "-o", "target/", "./cmd/proxy", "./cmd/agent", "./cmd/controlplane", "./cmd/saddlectl")
+	build.Dir = tree
+	if out, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	for seed := first; seed < first+uint64(seeds); seed++ {
+		begin := time.Now()
+		soak := exec.Command(filepath.Join(tree, "target", "saddlectl"), "soak", "--seed", fmt.Sprint(seed), "--length", length.String(), "--out", filepath.Join(dir, "out"))
+		out, err := soak.Output()
+		var exit *exec.ExitError
+		if err != nil && !errors.As(err, &exit) {
+			return "", err
+		}
+		if line := firstFinding(string(out)); line != "" {
+			return fmt.Sprintf("seed %d, after %d s: %s", seed, int(time.Since(begin).Seconds()), line), nil
+		}
+	}
+	return "", nil
+}
+
+// firstFinding returns the first line behind the count of findings.
+func firstFinding(report string) string {
+	_, rest, _ := strings.Cut(report, "\nfindings: ")
+	lines := strings.Split(rest, "\n")
+	if len(lines) < 2 {
+		return ""
+	}
+	return strings.TrimSpace(lines[1])
+}
+
+func (m mutant) apply(tree string) error {
+	changes := []mutant{m}
+	if m.name == "stale-read" {
+		changes = append(changes, staleReadMachine)
+	}
+	for _, change := range changes {
+		file := filepath.Join(tree, change.file)
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if strings.Count(string(text), change.old) != 1 {
+			return fmt.Errorf("%s: %q: %w", change.file, change.old, errText)
+		}
+		if err := os.WriteFile(file, []byte(strings.Replace(string(text), change.old, change.replaced, 1)), 0o644); err != nil {
+			return err
+		}
+	}
+	if code := support[m.name]; code != "" {
+		return os.WriteFile(filepath.Join(tree, filepath.Dir(m.file), "mutant.go"), []byte(code), 0o644)
+	}
+	return nil
+}
