--- a/internal/lab/measure/capacity.go
+++ b/internal/lab/measure/capacity.go
@@ -52,14 +52,14 @@
 	Change          Role          // bytes of one new configuration, per agent, as text
 	ChangePacked    float64       // the same, as it goes over the wire
 	ChangeTo        time.Duration // until all agents hold it
-	Drain           Role          // bytes of the news of one server, per agent
+	Drain           Role          // bytes of the update of one server, per agent
 	DrainTo         time.Duration
 }
 
 const (
-	capacityUp   = 20_000 * ms // until a fleet rests
-	capacityRest = 20          // seconds measured at rest
-	capacityNews = 10          // seconds measured after a piece of news
+	capacityUp         = 20_000 * ms // until a fleet rests
+	capacityRest       = 20          // seconds measured at rest
+	capacityUpdateSpan = 10          // seconds measured after an update
 )
 
 // MeasureCapacity plays each size.
@@ -79,7 +79,7 @@
 func (p CapacityPlan) measure(agents int) Capacity {
 	c := Capacity{Agents: agents, Servers: int(float64(agents) * p.PerAgent)}
 	before := heapBytes()
-	w := newNewsWorld(NewsPlan{Processes: agents + p.Cores, Cores: p.Cores, Zones: p.Zones, Seed: p.Seed, Delays: Usual})
+	w := newGossipWorld(GossipPlan{Processes: agents + p.Cores, Cores: p.Cores, Zones: p.Zones, Seed: p.Seed, Delays: Usual})
 	w.until(1000*ms, nil)
 	p.preload(w, c.Servers)
 	w.until(capacityUp, nil)
@@ -100,8 +100,8 @@
 	return m.HeapAlloc
 }
 
-// preload has every process hold the news of all servers, as after a fleet has long run.
-func (p CapacityPlan) preload(w *newsWorld, servers int) {
+// preload has every process store the entries of all servers, as after a fleet has long run.
+func (p CapacityPlan) preload(w *gossipWorld, servers int) {
 	for i := range servers {
 		item := serverItem(i, p.Zones, w.procs[i%p.Cores].addr, 1, registry.Available)
 		for _, x := range w.procs {
@@ -124,7 +124,7 @@
 }
 
 // weigh plays so many seconds and tells what a process of each role spends.
-func (w *newsWorld) weigh(seconds int) (agent, core Role) {
+func (w *gossipWorld) weigh(seconds int) (agent, core Role) {
 	for _, x := range w.procs {
 		x.calls, x.bytes = 0, 0
 	}
@@ -146,7 +146,7 @@
 }
 
 // beat times the registry's part of heartbeats: each core machine hears its share.
-func (p CapacityPlan) beat(w *newsWorld, servers int) time.Duration {
+func (p CapacityPlan) beat(w *gossipWorld, servers int) time.Duration {
 	const rounds = 20
 	r := registry.New(w.procs[0].addr, 1<<40)
 	share := max(servers/p.Cores, 1)
@@ -166,7 +166,7 @@
 
 // change tells a new configuration at one core machine. What the fleet spends at rest is
 // taken off.
-func (p CapacityPlan) change(w *newsWorld, rest Role) (Role, float64, time.Duration) {
+func (p CapacityPlan) change(w *gossipWorld, rest Role) (Role, float64, time.Duration) {
 	body := config(p.ConfigBytes)
 	item := gossip.Entry{Key: "c", Version: 1 << 20, Value: body}
 	r, to := p.tell(w, rest, item)
@@ -191,13 +191,13 @@
 	}
 }
 
-func (p CapacityPlan) drain(w *newsWorld, rest Role) (Role, time.Duration) {
+func (p CapacityPlan) drain(w *gossipWorld, rest Role) (Role, time.Duration) {
 	return p.tell(w, rest, serverItem(0, p.Zones, w.procs[0].addr, 9, registry.Draining))
 }
 
-// tell gives one core machine a piece of news, and measures what that costs and how long it
+// tell gives one core machine an entry, and measures what that costs and how long it
 // takes until all hold it.
-func (p CapacityPlan) tell(w *newsWorld, rest Role, item gossip.Entry) (Role, time.Duration) {
+func (p CapacityPlan) tell(w *gossipWorld, rest Role, item gossip.Entry) (Role, time.Duration) {
 	begun, last, missing := w.now, w.now, len(w.procs)-1
 	w.watch = func(_ *proc, i gossip.Entry) {
 		if i.Key == item.Key && i.Version == item.Version {
@@ -208,11 +208,11 @@
 	x := w.procs[0]
 	x.members.Put(w.now, item)
 	x.soon()
-	r, _ := w.weigh(capacityNews)
+	r, _ := w.weigh(capacityUpdateSpan)
 	w.watch = nil
-	r.Bytes = (r.Bytes - rest.Bytes) * capacityNews
-	r.Calls = (r.Calls - rest.Calls) * capacityNews
-	r.MostBytes = (r.MostBytes - rest.MostBytes) * capacityNews
+	r.Bytes = (r.Bytes - rest.Bytes) * capacityUpdateSpan
+	r.Calls = (r.Calls - rest.Calls) * capacityUpdateSpan
+	r.MostBytes = (r.MostBytes - rest.MostBytes) * capacityUpdateSpan
 	if missing > 1 { // the one that told it may count or not
 		return r, time.Duration(math.MaxInt64)
 	}
--- a/internal/lab/measure/command.go
+++ b/internal/lab/measure/command.go
@@ -20,7 +20,7 @@
 // Command is the measurements' command line.
 func Command() *cobra.Command {
 	root := &cobra.Command{Use: "measure", Short: "Measure the system's machines in memory, in virtual time"}
-	root.AddCommand(coreCommand(), cutCommand(), catchUpCommand(), capacityCommand(), newsCommand(), rejoinCommand(), laggardsCommand(), allowCommand())
+	root.AddCommand(coreCommand(), cutCommand(), catchUpCommand(), capacityCommand(), gossipCommand(), rejoinCommand(), laggardsCommand(), allowCommand())
 	return root
 }
 
@@ -92,11 +92,11 @@
 	return cmd
 }
 
-func newsCommand() *cobra.Command {
-	p := NewsPlan{Zones: 6, Runs: 30, Seed: 1, Delays: Usual}
+func gossipCommand() *cobra.Command {
+	p := GossipPlan{Zones: 6, Runs: 30, Seed: 1, Delays: Usual}
 	var sizes []int
 	var asJSON bool
-	cmd := &cobra.Command{Use: "news", Short: "What news costs each process, and how long it takes to all", Args: cobra.NoArgs,
+	cmd := &cobra.Command{Use: "gossip", Aliases: []string{"news"}, Short: "What gossip costs each process, and how long an update takes to all", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			for _, n := range sizes {
 				if n < 4 || n > 2000 {
@@ -107,27 +107,27 @@
 				return errors.New("zones: 1 to 60, loss: 0 to 0.9, runs: 1 at least")
 			}
 			bar := show.NewBar(os.Stderr, "measure")
-			var all []News
+			var all []GossipCost
 			for i, n := range sizes {
 				bar.Set(float64(i)/float64(len(sizes)), fmt.Sprintf("%d processes", n))
 				q := p
 				q.Processes, q.Servers = n, max(2*n, 40)
-				all = append(all, MeasureNews(q))
+				all = append(all, MeasureGossip(q))
 			}
 			bar.End()
 			if asJSON {
 				type result struct {
-					Processes int     `json:"processes"`
-					Calls     float64 `json:"calls_a_second"`
-					Most      float64 `json:"calls_a_second_of_the_busiest"`
-					Bytes     float64 `json:"bytes_a_second"`
-					Beyond    float64 `json:"bytes_a_second_beyond_the_zone"`
-					False     int     `json:"called_dead_though_alive"`
-					Rows      []row   `json:"times"`
+					Processes      int     `json:"processes"`
+					Calls          float64 `json:"calls_a_second"`
+					Most           float64 `json:"calls_a_second_of_the_busiest"`
+					Bytes          float64 `json:"bytes_a_second"`
+					CrossZoneBytes float64 `json:"bytes_a_second_beyond_the_zone"`
+					False          int     `json:"called_dead_though_alive"`
+					Rows           []row   `json:"times"`
 				}
 				var out []result
 				for _, n := range all {
-					out = append(out, result{n.Plan.Processes, n.Calls, n.MostCall, n.Bytes, n.Beyond, n.False, n.rows()})
+					out = append(out, result{n.Plan.Processes, n.Calls, n.BusiestCalls, n.Bytes, n.CrossZoneBytes, n.False, n.rows()})
 				}
 				return put(c.OutOrStdout(), out)
 			}
@@ -136,7 +136,7 @@
 			w := tabwriter.NewWriter(o, 0, 0, 2, ' ', 0)
 			fmt.Fprintln(w, "processes\tcalls\tof the busiest\tbytes\tbeyond the zone\tcalled dead though alive")
 			for _, n := range all {
-				fmt.Fprintf(w, "%d\t%.2f\t%.2f\t%.0f\t%.0f\t%d\n", n.Plan.Processes, n.Calls, n.MostCall, n.Bytes, n.Beyond, n.False)
+				fmt.Fprintf(w, "%d\t%.2f\t%.2f\t%.0f\t%.0f\t%d\n", n.Plan.Processes, n.Calls, n.BusiestCalls, n.Bytes, n.CrossZoneBytes, n.False)
 			}
 			w.Flush()
 			for _, n := range all {
@@ -155,7 +155,7 @@
 	return cmd
 }
 
-func (n News) rows() []row {
+func (n GossipCost) rows() []row {
 	return []row{rowOf("a drain is known to half", n.Half, 0), rowOf("and to all", n.Reached, 0),
 		rowOf("a process started anew holds all", n.Joined, 0), rowOf("a process killed is known as dead to all", n.Noticed, 0)}
 }
--- a/internal/lab/measure/core.go
+++ b/internal/lab/measure/core.go
@@ -70,17 +70,17 @@
 
 type coreWorld struct {
 	*sim
-	plan    CorePlan
-	ms      []*machine
-	byAddr  map[string]*machine
-	seeds   []string
-	version uint64
-	quiet   bool              // the operator has stopped
-	asked   map[string]int64  // when a call was made
-	sent    map[string]uint64 // the version of an order
-	newest  uint64            // the highest version that was acknowledged to a caller
-	acked   func(askedAt int64)
-	told    func(x *machine, res chain.Result) // of what a machine tells its callers; nil: nobody
+	plan     CorePlan
+	ms       []*machine
+	byAddr   map[string]*machine
+	seeds    []string
+	version  uint64
+	quiet    bool              // the operator has stopped
+	asked    map[string]int64  // when a call was made
+	sent     map[string]uint64 // the version of an order
+	newest   uint64            // the highest version that was acknowledged to a caller
+	acked    func(askedAt int64)
+	onResult func(x *machine, res chain.Result) // of what a machine tells its callers; nil: nobody
 }
 
 // MeasureCore plays each loss so many times.
@@ -246,8 +246,8 @@
 					w.newest = max(w.newest, w.sent[res.ID])
 				}
 				delete(w.sent, res.ID)
-				if w.told != nil {
-					w.told(x, res)
+				if w.onResult != nil {
+					w.onResult(x, res)
 				}
 				if at, known := w.asked[res.ID]; known && res.OK() && w.acked != nil {
 					w.acked(at)
--- a/internal/lab/measure/cut.go
+++ b/internal/lab/measure/cut.go
@@ -67,7 +67,7 @@
 		}
 	}
 	floors := make(map[string]uint64) // of reads: what was acknowledged when they were asked
-	w.told = func(at *machine, res chain.Result) {
+	w.onResult = func(at *machine, res chain.Result) {
 		floor, own := floors[res.ID]
 		if at != x || !own || !res.OK() {
 			return
--- a/internal/lab/measure/news.go
+++ b/internal/lab/measure/gossip.go
@@ -11,30 +11,30 @@
 	"saddleport/internal/cluster/registry"
 )
 
-// NewsPlan says what is measured of news.
-type NewsPlan struct {
+// GossipPlan says what is measured of gossip.
+type GossipPlan struct {
 	Processes int
 	Cores     int // of the processes, core processes; 0: a tenth, three at least
 	Zones     int
-	Servers   int     // whose news is held from the start
+	Servers   int     // whose entries are stored from the start
 	Loss      float64 // share of calls that are lost on the way or back
 	Runs      int     // drains told, and processes killed
 	Seed      uint64
 	Delays    Delays
 }
 
-// News is what was measured.
-type News struct {
-	Plan     NewsPlan
-	Calls    float64 // a second and process, at rest
-	Bytes    float64 // the same: sent and received answers, with heads
-	Beyond   float64 // of these, bytes that left the zone
-	MostCall float64 // a second, of the process that makes most calls
-	Reached  Spans   // a drain to all
-	Half     Spans   // and to half
-	Noticed  Spans   // a process killed, until all know
-	Joined   Spans   // a process started anew, until it holds all
-	False    int     // deaths told of processes that live
+// GossipCost is what was measured.
+type GossipCost struct {
+	Plan           GossipPlan
+	Calls          float64 // a second and process, at rest
+	Bytes          float64 // the same: sent and received answers, with heads
+	CrossZoneBytes float64 // of these, bytes that left the zone
+	BusiestCalls   float64 // a second, of the process that makes most calls
+	Reached        Spans   // a drain to all
+	Half           Spans   // and to half
+	Noticed        Spans   // a process killed, until all know
+	Joined         Spans   // a process started anew, until it holds all
+	False          int     // deaths told of processes that live
 }
 
 const (
@@ -44,7 +44,7 @@
 )
 
 type proc struct {
-	w            *newsWorld
+	w            *gossipWorld
 	i            int
 	addr         string
 	zone, region int
@@ -56,19 +56,19 @@
 	bytes        int
 }
 
-type newsWorld struct {
+type gossipWorld struct {
 	*sim
-	plan   NewsPlan
-	procs  []*proc
-	byAddr map[string]*proc
-	count  bool
-	beyond int
-	seeds  []string
-	killed map[string]bool
-	false_ int
-	watch  func(p *proc, i gossip.Entry)
-	duties []member.SingletonRole
-	cut    func(p, q *proc) bool // nil: no way is
+	plan        GossipPlan
+	procs       []*proc
+	byAddr      map[string]*proc
+	count       bool
+	beyond      int
+	seeds       []string
+	killed      map[string]bool
+	falseDeaths int
+	watch       func(p *proc, i gossip.Entry)
+	duties      []member.SingletonRole
+	cut         func(p, q *proc) bool // nil: no way is
 }
 
 func size(v any) int {
@@ -95,7 +95,7 @@
 	p.step()
 }
 
-func (p NewsPlan) cores() int {
+func (p GossipPlan) cores() int {
 	if p.Cores > 0 {
 		return p.Cores
 	}
@@ -123,7 +123,7 @@
 	out := p.members.TakeOutput()
 	for _, n := range out.Events {
 		if n.Kind == member.ProcessDead && !w.killed[n.Process] {
-			w.false_++
+			w.falseDeaths++
 		}
 	}
 	life := p.life
@@ -148,7 +148,7 @@
 }
 
 // ask carries a question of the ring, and the try that it may lead to.
-func (w *newsWorld) ask(p *proc, q failuredetector.Probe, life int) {
+func (w *gossipWorld) ask(p *proc, q failuredetector.Probe, life int) {
 	answer := func(hears, came bool) {
 		if p.life == life {
 			p.members.HandleProbeResult(w.now, q, hears, came)
@@ -178,7 +178,7 @@
 }
 
 // call plays a call: there, what is done there, and back.
-func (w *newsWorld) call(p *proc, to string, bytes int, do func(q *proc) (any, int), done func(ans any, ok bool)) {
+func (w *gossipWorld) call(p *proc, to string, bytes int, do func(q *proc) (any, int), done func(ans any, ok bool)) {
 	q := w.byAddr[to]
 	lost := w.rng.Float64() < w.plan.Loss
 	w.pay(p, q, bytes+headBytes, true)
@@ -198,7 +198,7 @@
 	})
 }
 
-func (w *newsWorld) pay(p, q *proc, bytes int, call bool) {
+func (w *gossipWorld) pay(p, q *proc, bytes int, call bool) {
 	if !w.count {
 		return
 	}
@@ -211,13 +211,13 @@
 	}
 }
 
-// MeasureNews plays a fleet: it comes up, rests, is told of drains, loses processes.
-func MeasureNews(plan NewsPlan) News {
-	w := newNewsWorld(plan)
+// MeasureGossip plays a fleet: it comes up, rests, is told of drains, loses processes.
+func MeasureGossip(plan GossipPlan) GossipCost {
+	w := newGossipWorld(plan)
 	for i := range plan.Servers {
-		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%plan.cores()].told(i, 1, registry.Available) })
+		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%plan.cores()].storeServer(i, 1, registry.Available) })
 	}
-	out := News{Plan: plan}
+	out := GossipCost{Plan: plan}
 	w.until(20_000*ms, nil)
 	w.count = true
 	const rest = 30
@@ -226,23 +226,23 @@
 	calls, bytes := 0, 0
 	for _, p := range w.procs {
 		calls, bytes = calls+p.calls, bytes+p.bytes
-		out.MostCall = max(out.MostCall, float64(p.calls)/rest)
+		out.BusiestCalls = max(out.BusiestCalls, float64(p.calls)/rest)
 	}
 	n := float64(plan.Processes) * rest
-	out.Calls, out.Bytes, out.Beyond = float64(calls)/n, float64(bytes)/n, float64(w.beyond)/n
+	out.Calls, out.Bytes, out.CrossZoneBytes = float64(calls)/n, float64(bytes)/n, float64(w.beyond)/n
 	for run := range plan.Runs {
 		w.drain(&out, run)
 	}
 	for range plan.Runs {
 		w.kill(&out)
 	}
-	out.False = w.false_
+	out.False = w.falseDeaths
 	return out
 }
 
-// newNewsWorld has a fleet about to start.
-func newNewsWorld(plan NewsPlan, duties ...member.SingletonRole) *newsWorld {
-	w := &newsWorld{sim: newSim(plan.Seed), plan: plan, byAddr: make(map[string]*proc), killed: make(map[string]bool), duties: duties}
+// newGossipWorld has a fleet about to start.
+func newGossipWorld(plan GossipPlan, duties ...member.SingletonRole) *gossipWorld {
+	w := &gossipWorld{sim: newSim(plan.Seed), plan: plan, byAddr: make(map[string]*proc), killed: make(map[string]bool), duties: duties}
 	for i := range plan.Processes {
 		p := &proc{w: w, i: i, addr: fmt.Sprintf("10.%d.%d.%d:7080", i%plan.Zones+1, i/200, i%200+1)}
 		p.zone, p.region = place(i, plan.Zones)
@@ -258,7 +258,7 @@
 	return w
 }
 
-func (p *proc) told(server int, seq uint64, state registry.State) {
+func (p *proc) storeServer(server int, seq uint64, state registry.State) {
 	s := registry.Server{ID: fmt.Sprint("i-", server), Service: fmt.Sprint("s", server%20), Addr: fmt.Sprintf("10.9.%d.%d:80", server/200, server%200),
 		Zone: fmt.Sprint("z", server%p.w.plan.Zones), Revision: "v1", Capacity: 3, State: state, Owner: p.addr}
 	body, err := json.Marshal(s)
@@ -269,9 +269,9 @@
 	p.soon()
 }
 
-// spread waits until so many processes hold a piece of news, and tells when half and all
+// spread waits until so many processes hold an entry, and tells when half and all
 // did; a run that takes over a minute counts as that.
-func (w *newsWorld) spread(holds func(p *proc) bool, half, all *Spans) {
+func (w *gossipWorld) spread(holds func(p *proc) bool, half, all *Spans) {
 	begin, most := w.now, w.now+60_000*ms
 	know, live := make(map[*proc]bool), 0
 	for _, p := range w.procs {
@@ -305,17 +305,17 @@
 	*all = append(*all, time.Duration((w.now-begin)*micro))
 }
 
-func (w *newsWorld) drain(out *News, run int) {
+func (w *gossipWorld) drain(out *GossipCost, run int) {
 	w.until(w.now+w.rng.Int64N(2000*ms), nil)
 	server := run % max(w.plan.Servers, 1)
 	seq := uint64(run + 2)
-	w.procs[w.rng.IntN(w.plan.cores())].told(server, seq, registry.Draining)
+	w.procs[w.rng.IntN(w.plan.cores())].storeServer(server, seq, registry.Draining)
 	key := registry.Prefix + fmt.Sprint("i-", server)
 	w.spread(func(p *proc) bool { i, _ := p.members.Store().Get(key); return i.Version >= seq<<2 }, &out.Half, &out.Reached)
 }
 
 // kill ends a process without a word, and starts it anew once all know.
-func (w *newsWorld) kill(out *News) {
+func (w *gossipWorld) kill(out *GossipCost) {
 	x := w.procs[w.rng.IntN(len(w.procs))]
 	x.up, w.killed[x.addr] = false, true
 	x.life++
--- a/internal/lab/measure/laggards.go
+++ b/internal/lab/measure/laggards.go
@@ -62,7 +62,7 @@
 )
 
 type laggardWorld struct {
-	*newsWorld
+	*gossipWorld
 	plan   LaggardPlan
 	flocks []*flock
 	by     map[*proc]*flock
@@ -77,11 +77,11 @@
 
 func newLaggardWorld(plan LaggardPlan) *laggardWorld {
 	core := 3
-	for (NewsPlan{Processes: plan.Mixers + core}).cores() != core {
+	for (GossipPlan{Processes: plan.Mixers + core}).cores() != core {
 		core++
 	}
-	base := newNewsWorld(NewsPlan{Processes: plan.Mixers + core, Zones: plan.Zones, Seed: plan.Seed, Delays: plan.Delays}, member.SingletonRole{Name: outlier.Role, ProcessKind: gossip.KindAgent})
-	w := &laggardWorld{newsWorld: base, plan: plan, by: make(map[*proc]*flock), slow: make(map[string]float64)}
+	base := newGossipWorld(GossipPlan{Processes: plan.Mixers + core, Zones: plan.Zones, Seed: plan.Seed, Delays: plan.Delays}, member.SingletonRole{Name: outlier.Role, ProcessKind: gossip.KindAgent})
+	w := &laggardWorld{gossipWorld: base, plan: plan, by: make(map[*proc]*flock), slow: make(map[string]float64)}
 	for _, p := range base.procs[core:] {
 		f := &flock{p: p, watch: outlier.NewObserver(outlier.DefaultConfig), groups: outlier.NewEjections(outlier.DefaultConfig), seat: outlier.NewAggregatorRole(outlier.DefaultConfig, p.addr),
 			pace: make(map[string]float64), tried: make(map[string]int64)}
@@ -165,7 +165,7 @@
 		}
 		name := serverName(s, best)
 		zone, region := place(best, w.plan.Zones)
-		way := 2 * w.newsWorld.plan.Delays.between(f.p.zone, f.p.region, zone, region)
+		way := 2 * w.gossipWorld.plan.Delays.between(f.p.zone, f.p.region, zone, region)
 		x := int64(w.took()*max(w.slow[name], 1)) + way
 		w.after(min(x, aimTime), func() {
 			f.pace[name] += (float64(min(x, aimTime))/float64(20_000+way) - f.pace[name]) * paceStep
@@ -340,10 +340,10 @@
 func (w *laggardWorld) troubles(out *Laggards) (rows []LaggardRow) {
 	row := LaggardRow{What: "with a tenth of the calls lost"}
 	for range w.plan.Runs {
-		w.newsWorld.plan.Loss = 0.1
+		w.gossipWorld.plan.Loss = 0.1
 		w.once(&row, everyone)
 	}
-	w.newsWorld.plan.Loss = 0
+	w.gossipWorld.plan.Loss = 0
 	rows = append(rows, row)
 	row = LaggardRow{What: "the holder dies as it turns slow"}
 	for range max(w.plan.Runs/4, 1) {
--- a/internal/lab/measure/measure_test.go
+++ b/internal/lab/measure/measure_test.go
@@ -7,15 +7,15 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-func TestNews(t *testing.T) {
-	Convey("What news costs a process does not grow with their number, and a drain reaches all in time", t, func() {
-		small := MeasureNews(NewsPlan{Processes: 14, Zones: 3, Servers: 40, Runs: 20, Seed: 1, Delays: Usual})
-		large := MeasureNews(NewsPlan{Processes: 65, Zones: 6, Servers: 120, Runs: 10, Seed: 1, Delays: Usual})
+func TestGossip(t *testing.T) {
+	Convey("What gossip costs a process does not grow with their number, and a drain reaches all in time", t, func() {
+		small := MeasureGossip(GossipPlan{Processes: 14, Zones: 3, Servers: 40, Runs: 20, Seed: 1, Delays: Usual})
+		large := MeasureGossip(GossipPlan{Processes: 65, Zones: 6, Servers: 120, Runs: 10, Seed: 1, Delays: Usual})
 		So(small.Calls, ShouldBeBetween, 0.9, 1.5)
 		So(large.Calls, ShouldBeBetween, 0.9, 1.5)
 		So(large.Bytes, ShouldBeLessThan, small.Bytes*1.5)
-		So(large.MostCall, ShouldBeLessThan, 3)
-		for _, n := range []News{small, large} {
+		So(large.BusiestCalls, ShouldBeLessThan, 3)
+		for _, n := range []GossipCost{small, large} {
 			So(n.False, ShouldEqual, 0)
 			So(n.Reached.At(1), ShouldBeLessThan, 3*time.Second)
 			So(n.Noticed.At(1), ShouldBeLessThan, 16*time.Second)
@@ -23,8 +23,8 @@
 			t.Logf("%+v", n)
 		}
 	})
-	Convey("With a tenth of the calls lost nobody is called dead, and news still gets there", t, func() {
-		n := MeasureNews(NewsPlan{Processes: 65, Zones: 6, Servers: 60, Loss: 0.1, Runs: 8, Seed: 2, Delays: Usual})
+	Convey("With a tenth of the calls lost nobody is called dead, and updates still get there", t, func() {
+		n := MeasureGossip(GossipPlan{Processes: 65, Zones: 6, Servers: 60, Loss: 0.1, Runs: 8, Seed: 2, Delays: Usual})
 		So(n.False, ShouldEqual, 0)
 		So(n.Reached.At(1), ShouldBeLessThan, 6*time.Second)
 		t.Logf("%+v", n)
--- a/internal/lab/measure/rejoin.go
+++ b/internal/lab/measure/rejoin.go
@@ -55,9 +55,9 @@
 
 // play plays one separation in a fleet of its own.
 func (plan RejoinPlan) play(separation Separation, seed uint64, row *Rejoin) {
-	w := newNewsWorld(NewsPlan{Processes: plan.Processes, Cores: plan.Cores, Zones: plan.Zones, Servers: plan.Servers, Loss: plan.Loss, Seed: seed, Delays: plan.Delays})
+	w := newGossipWorld(GossipPlan{Processes: plan.Processes, Cores: plan.Cores, Zones: plan.Zones, Servers: plan.Servers, Loss: plan.Loss, Seed: seed, Delays: plan.Delays})
 	for i := range plan.Servers {
-		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%w.plan.cores()].told(i, 1, registry.Available) })
+		w.after(2000*ms+int64(i)*ms, func() { w.procs[i%w.plan.cores()].storeServer(i, 1, registry.Available) })
 	}
 	w.until(startSpan, nil)
 	span := plan.Span
@@ -87,7 +87,7 @@
 }
 
 // lookForMeeting notes when everyone first knows everyone.
-func (w *newsWorld) lookForMeeting(end int64, met *int64) {
+func (w *gossipWorld) lookForMeeting(end int64, met *int64) {
 	w.after(lookInterval, func() {
 		if w.everyoneKnown() {
 			*met = w.now
@@ -97,7 +97,7 @@
 	})
 }
 
-func (w *newsWorld) countCalls(end int64) {
+func (w *gossipWorld) countCalls(end int64) {
 	for _, p := range w.procs {
 		p.calls = 0
 	}
@@ -106,7 +106,7 @@
 }
 
 // announce has a control-plane process store the entry that is followed.
-func (w *newsWorld) announce() {
+func (w *gossipWorld) announce() {
 	for _, p := range w.procs[:w.plan.cores()] {
 		if p.up {
 			p.members.Put(w.now, gossip.Entry{Key: followedKey, Version: 1, Value: json.RawMessage(`"x"`)})
--- a/internal/lab/measure/separation.go
+++ b/internal/lab/measure/separation.go
@@ -25,7 +25,7 @@
 )
 
 // separate plays a separation and returns at its end.
-func (w *newsWorld) separate(separation Separation, span int64) {
+func (w *gossipWorld) separate(separation Separation, span int64) {
 	end := w.now + span
 	cores, agents := w.procs[:w.plan.cores()], w.procs[w.plan.cores():]
 	switch separation {
@@ -85,7 +85,7 @@
 }
 
 // everyoneKnown reports whether every process that is up knows every other one, and no more.
-func (w *newsWorld) everyoneKnown() bool {
+func (w *gossipWorld) everyoneKnown() bool {
 	live := 0
 	for _, p := range w.procs {
 		if p.up {
--- a/internal/lab/measure/sim.go
+++ b/internal/lab/measure/sim.go
@@ -1,4 +1,4 @@
-// Package measure measures the system's machines in memory, in virtual time: what news costs
+// Package measure measures the system's machines in memory, in virtual time: what gossip costs
 // and how long it takes at a number of processes, and how long the core acknowledges
 // nothing after a loss. It plays the very machines that the programs step; the network,
 // the disks and the clock are its own. The same seed gives the same figures.
