Soak: attempt ids are unique; records are kept beside findings

Traced to the soak itself: the probes of a change took the same attempt ids at every proxy, so that one proxy was judged by another's runs. Ids come from one counter now, and the judge stops at an id that stands twice.

--- a/internal/lab/soak/judge/judge.go
+++ b/internal/lab/soak/judge/judge.go
@@ -233,6 +233,9 @@
 func (j *judge) judgeRuns() {
 	asked := make(map[string]bool, len(j.Requests))
 	for _, r := range j.Requests {
+		if asked[r.Attempt] {
+			panic("two requests are recorded under the attempt " + r.Attempt) // no verdict could rest on that
+		}
 		asked[r.Attempt] = true
 		runs := j.runs[r.Attempt]
 		if !r.NonIdempotent {
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// Save writes the report, its figures, the plan and a chart below a folder.
+// Save writes the report, its figures, the plan and a chart below a folder, and what findings
+// rest on.
 func (r *Result) Save(dir string) error {
 	write := func(name string, f func(io.Writer) error) error {
 		file, err := os.Create(filepath.Join(dir, name))
@@ -108,6 +109,11 @@
 	if err := write("plan.toml", r.Plan.Write); err != nil {
 		return err
 	}
+	if len(r.Findings) > 0 {
+		if err := write("record.json", func(w io.Writer) error { return json.NewEncoder(w).Encode(r.record) }); err != nil {
+			return err
+		}
+	}
 	return r.chart(filepath.Join(dir, "lag.svg"))
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -54,6 +54,8 @@
 	Lags         []traffic.Lag       `json:"lags"`
 	Usage        []Usage             `json:"usage"`
 	Findings     []judge.Finding     `json:"findings"`
+
+	record judge.Record // what the findings rest on
 }
 
 // Run plays a plan with the programs of a folder. Its files go below dir.
@@ -189,7 +191,7 @@
 	for i := range min(len(fronts), lagProxies) {
 		machine := fronts[(count+i)%len(fronts)]
 		r.lags.Go(func() {
-			r.clients.MeasureLag(ctx, machine, prefix, change.Revision, change.AckedAt, r.plan.Seed+uint64(change.Revision))
+			r.clients.MeasureLag(ctx, machine, prefix, change.Revision, change.AckedAt)
 		})
 	}
 }
@@ -235,6 +237,7 @@
 		out.Statuses[request.Status]++
 	}
 	out.Findings = append(judge.Judge(record, bounds), r.endings()...)
+	out.record = record
 	return out
 }
 
--- a/internal/lab/soak/traffic/clients.go
+++ b/internal/lab/soak/traffic/clients.go
@@ -77,7 +77,7 @@
 	requests := make([]judge.Request, batch)
 	for i := range requests {
 		prefix, route := c.Current.draw(rng)
-		requests[i] = judge.Request{Proxy: machine, Attempt: fmt.Sprintf("%016x", rng.Uint64()), Prefix: prefix, NonIdempotent: route.NonIdempotent, Gathered: route.Gathered}
+		requests[i] = judge.Request{Proxy: machine, Attempt: c.Recorder.newAttempt(), Prefix: prefix, NonIdempotent: route.NonIdempotent, Gathered: route.Gathered}
 		writeRequest(&text, requests[i])
 	}
 	begin := c.Recorder.now()
@@ -166,11 +166,10 @@
 
 // MeasureLag asks a proxy for a route that was just added until it is served, and notes how long
 // that took after the acknowledgement.
-func (c *Clients) MeasureLag(ctx context.Context, machine, prefix string, revision int64, ackedAt time.Duration, seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 91))
+func (c *Clients) MeasureLag(ctx context.Context, machine, prefix string, revision int64, ackedAt time.Duration) {
 	lag := Lag{Revision: revision, Proxy: machine, AckedAt: ackedAt}
 	for c.Recorder.now() < ackedAt+lagPatience && !lag.Seen {
-		lag.Seen = c.askOnce(machine, prefix, rng)
+		lag.Seen = c.askOnce(machine, prefix)
 		lag.Took = c.Recorder.now() - ackedAt
 		if !lag.Seen && !pause(ctx, lagInterval) {
 			return
@@ -180,14 +179,14 @@
 }
 
 // askOnce asks on a connection of its own; true: the route is known.
-func (c *Clients) askOnce(machine, prefix string, rng *rand.Rand) bool {
+func (c *Clients) askOnce(machine, prefix string) bool {
 	conn, err := net.DialTimeout("tcp4", c.FrontOf(machine), dialTimeout)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(requestPatience + patienceSlack))
-	request := judge.Request{Proxy: machine, Attempt: fmt.Sprintf("%016x", rng.Uint64()), Prefix: prefix, SentAt: c.Recorder.now()}
+	request := judge.Request{Proxy: machine, Attempt: c.Recorder.newAttempt(), Prefix: prefix, SentAt: c.Recorder.now()}
 	var text strings.Builder
 	writeRequest(&text, request)
 	if _, err = io.WriteString(conn, text.String()); err == nil {
--- a/internal/lab/soak/traffic/recorder.go
+++ b/internal/lab/soak/traffic/recorder.go
@@ -1,7 +1,9 @@
 package traffic
 
 import (
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"saddleport/internal/lab/soak/judge"
@@ -9,7 +11,8 @@
 
 // Recorder collects what clients, operators and servers see. It is safe for concurrent use.
 type Recorder struct {
-	now func() time.Duration
+	now      func() time.Duration
+	attempts atomic.Uint64
 
 	mu     sync.Mutex
 	record judge.Record
@@ -28,6 +31,9 @@
 // NewRecorder returns an empty recorder with a clock.
 func NewRecorder(now func() time.Duration) *Recorder { return &Recorder{now: now} }
 
+// newAttempt returns an id that no other attempt has.
+func (r *Recorder) newAttempt() string { return fmt.Sprintf("%016x", r.attempts.Add(1)) }
+
 func (r *Recorder) update(f func(record *judge.Record)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lab/soak/traffic/servers.go
+++ b/internal/lab/soak/traffic/servers.go
@@ -23,7 +23,8 @@
 	workMost          = 20 * time.Millisecond
 	callTimeout       = time.Second
 	afterDrain        = 500 * time.Millisecond // a server serves on so long beyond what the rules ask
-	leaveInterval     = 8 * time.Second        // between two servers that leave
+	leaveInterval     = 3 * time.Second        // between two servers that come
+	extraServers      = 3                      // that came and have not been told to leave
 	healthPath        = "/health"
 )
 
@@ -65,7 +66,6 @@
 	wait     sync.WaitGroup
 	mu       sync.Mutex
 	made     int
-	err      error
 }
 
 // StartServers starts them; they end with ctx, and Wait returns then.
@@ -86,23 +86,23 @@
 // Wait returns once all servers have ended.
 func (s *Servers) Wait() { s.wait.Wait() }
 
-// replaceSome has one server after another leave in order, after a new one was started.
+// replaceSome has one server after another leave in order, each some time after it came.
 func (s *Servers) replaceSome(ctx context.Context, rng *rand.Rand) {
 	services := Services()
-	leaves := make(map[string]chan struct{})
+	var leaves []chan struct{}
 	for {
-		service := services[rng.IntN(len(services))]
 		leave := make(chan struct{})
-		if s.start(ctx, service, rng.Uint64(), leave) != nil {
+		if s.start(ctx, services[rng.IntN(len(services))], rng.Uint64(), leave) != nil {
 			return
 		}
+		leaves = append(leaves, leave)
 		if !pause(ctx, leaveInterval) {
 			return
 		}
-		if old := leaves[service]; old != nil {
-			close(old)
+		if len(leaves) > extraServers {
+			close(leaves[0])
+			leaves = leaves[1:]
 		}
-		leaves[service] = leave
 	}
 }
 
