--- a/internal/lab/soak/judge/judge_test.go
+++ b/internal/lab/soak/judge/judge_test.go
@@ -148,6 +148,17 @@
 			r.add(lost, "i-2", "s2")
 			r.Disturbances = []Disturbance{{Machine: "front-1", From: 30 * second, To: 31 * second}}
 		}},
+		{"a request that its server broke off", "", func(r *Record) {
+			lost := ran("x", "/a/", 30*second)
+			lost.Status = 0
+			r.add(lost, "i-2", "s2")
+			r.Runs[len(r.Runs)-1].BrokeOff = true
+		}},
+		{"a request dropped in calm", RuleLost, func(r *Record) {
+			lost := ran("x", "/a/", 30*second)
+			lost.Status = 0
+			r.add(lost, "i-2", "s2")
+		}},
 		{"a request whose client left", "", func(r *Record) {
 			left := ran("x", "/a/", 30*second)
 			left.Status, left.Abandoned = 0, true
--- a/internal/lab/soak/judge/records.go
+++ b/internal/lab/soak/judge/records.go
@@ -44,6 +44,7 @@
 type Run struct {
 	Attempt, Server, Service, Target string
 	At                               time.Duration
+	BrokeOff                         bool // the server ran it and ended the connection without an answer
 }
 
 // Read is a configuration that was read back.
--- a/internal/lab/soak/traffic/configuration.go
+++ b/internal/lab/soak/traffic/configuration.go
@@ -180,7 +180,7 @@
 		out.Service = r.Services[0]
 	}
 	if r.NonIdempotent {
-		out.Type, out.Attempts = "non_idempotent", 1
+		out.Type = "non_idempotent" // a second server may be asked only after the first has said that it did not run it
 	}
 	return out
 }
