Ports of processes on loopback are drawn below the kernel's range for outgoing connections

Its proxy could not listen at a port that an outgoing connection of its own address held: the base port was taken from the kernel's range, and processes with loopback_ip call from their machine's address. internal/lab/ports draws rows of free ports below that range, for soak and testcluster.

--- a/internal/lab/soak/fleet/fleet.go
+++ b/internal/lab/soak/fleet/fleet.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"saddleport/internal/lab/ports"
 	"saddleport/internal/lab/soak/plan"
 	"saddleport/internal/node/admin"
 	"saddleport/internal/node/nodesettings"
@@ -87,7 +87,7 @@
 	if entries, err := os.ReadDir(dir); err == nil && len(entries) > 0 {
 		return nil, fmt.Errorf("%s: %w", dir, ErrDirInUse)
 	}
-	port, err := freePort()
+	port, err := ports.Row(controlPort + 1)
 	if err != nil {
 		return nil, err
 	}
@@ -103,15 +103,6 @@
 	return f, nil
 }
 
-func freePort() (int, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	defer ln.Close()
-	return min(ln.Addr().(*net.TCPAddr).Port, 65000), nil
-}
-
 func (f *Fleet) startMachine(machine string) error {
 	dir := filepath.Join(f.Dir, machine)
 	if err := os.MkdirAll(dir, 0o755); err != nil {
--- a/internal/lab/testcluster/testcluster.go
+++ b/internal/lab/testcluster/testcluster.go
@@ -12,7 +12,6 @@
 	"io"
 	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"time"
 
 	"saddleport/internal/cluster/registry"
+	"saddleport/internal/lab/ports"
 	"saddleport/internal/lab/standin"
 	"saddleport/internal/node/admin"
 )
@@ -121,12 +121,10 @@
 		return nil, err
 	}
 	rng := rand.New(rand.NewPCG(seed, 4))
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	port, err := ports.Row(controlPort + 1)
 	if err != nil {
 		return nil, err
 	}
-	port := min(ln.Addr().(*net.TCPAddr).Port, 65000)
-	ln.Close()
 	y := &Cluster{dir: dir, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250)), port: port, proxies: proxies, files: maxOpenFiles,
 		noEjection: noEjection, programs: programs}
 	for m := 1; m <= 3; m++ {
