--- a/internal/cluster/member/presence.go
+++ b/internal/cluster/member/presence.go
@@ -7,7 +7,7 @@
 const absenceDelay = 3_000_000
 
 // presence notes of which kinds other processes are known to be alive. What a process cannot
-// say by itself is that those which it does not know exist: so the absence of a whole kind is
+// say by itself is that those which it does not know exist: so the absence of all of a kind is
 // reported, and the return of one.
 type presence struct {
 	startedAt int64
@@ -26,9 +26,9 @@
 	return presence{startedAt: now, states: make(map[string]presenceState)}
 }
 
-// update takes how many processes of a kind are known and reports whether that is news: the
+// update takes how many processes of a kind are known and reports whether that changes anything: the
 // first of them, or that there is none any more.
-func (p *presence) update(now int64, kind string, count int) (news EventKind, changed bool) {
+func (p *presence) update(now int64, kind string, count int) (event EventKind, changed bool) {
 	state := p.states[kind]
 	switch {
 	case count > 0 && state != kindPresent:
@@ -45,8 +45,8 @@
 func (m *Machine) reportPresence(now int64) {
 	for _, kind := range []string{gossip.KindAgent, gossip.KindControlPlane} {
 		count := len(m.gossiper.Peers(kind))
-		if news, changed := m.presence.update(now, kind, count); changed {
-			m.emit(Event{Kind: news, ProcessKind: kind, Count: count})
+		if event, changed := m.presence.update(now, kind, count); changed {
+			m.emit(Event{Kind: event, ProcessKind: kind, Count: count})
 		}
 	}
 }
--- a/internal/node/nodesettings/settings.go
+++ b/internal/node/nodesettings/settings.go
@@ -115,7 +115,7 @@
 }
 
 // PeerSourceIP is the address that a process calls others from; empty: the kernel picks it. Where
-// several machines are played on one host, it tells a relay whose call it is.
+// several machines are played on one host, a relay sees by it whose call it is.
 func (b *Settings) PeerSourceIP() string {
 	if b.SharedHost {
 		return b.LoopbackIP
