Review case 1: more bookings in the five seconds of the disruption

Cause: on a busy machine only a dozen bookings fitted into the time that the site allows the disruption, and two of them ran twice.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -16,7 +16,7 @@
 	troubleTime  = 5 * time.Second // the longest garble, "extra late", of the site
 	troubleShare = 0.03            // the largest share of answers that it spoils
 	clients      = 4
-	receipts     = 30 // repeatable requests of each client before each booking
+	receipts     = 20 // repeatable requests of each client before each booking
 )
 
 func main() { os.Exit(run()) }
@@ -73,7 +73,7 @@
 		s := &harness.Server{ID: fmt.Sprintf("i-%d", i), Service: "patient-records", Zone: "amman-hall", Slots: 3, Queue: 12, KeepAlive: 20 * time.Second, Body: "booked",
 			Work: func(r harness.Request) time.Duration {
 				if r.Method == "POST" {
-					return 160 * time.Millisecond
+					return 60 * time.Millisecond
 				}
 				return time.Millisecond
 			},
@@ -138,7 +138,7 @@
 		m.mu.Unlock()
 		answers[id] = a.Status
 		record.Printf("client gets %d for POST %s", a.Status, id)
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(time.Second) // whatever is still at work ends
 	m.mu.Lock()
