--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -61,8 +61,6 @@
 type Server struct {
 	ID, Service, Addr, Zone string
 	Work                    time.Duration
-	Slots, Queue            int          // requests worked on at once, and queued; Slots 0: no limit
-	Slow                    atomic.Int64 // work takes this many tenths as long; 0: as usual
 
 	fleet    *Fleet
 	http     *http.Server
@@ -75,8 +73,6 @@
 	mu       sync.Mutex
 	arrivals []Arrival
 	stamps   int
-	present  int
-	slots    chan struct{}
 }
 
 // StartServer starts a server on its own loopback address and its heartbeats.
@@ -122,44 +118,18 @@
 	target := r.Header.Get("X-Saddleport-Target-Instance")
 	ran := target == "" || target == s.ID
 	s.mu.Lock()
-	status := http.StatusOK
-	switch {
-	case !ran:
-		status = http.StatusMisdirectedRequest
-	case s.Slots > 0 && s.present >= s.Slots+s.Queue:
-		ran, status = false, http.StatusServiceUnavailable
-	}
 	s.arrivals = append(s.arrivals, Arrival{at, attempt, ran})
 	s.stamps++
 	stamp := fmt.Sprintf("%x.%x.%s", s.stamps, len(s.ID), s.ID)
-	if s.slots == nil {
-		s.slots = make(chan struct{}, max(s.Slots, 1))
-	}
-	if ran {
-		s.present++
-		defer func() { s.mu.Lock(); s.present--; s.mu.Unlock() }()
-	}
 	s.mu.Unlock()
 	w.Header().Set("X-Saddleport-Attempt-Id", attempt)
 	if !ran {
 		w.Header().Set("X-Saddleport-Not-Executed", "1")
-		w.WriteHeader(status)
+		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.Slots > 0 {
-		select {
-		case s.slots <- struct{}{}:
-			defer func() { <-s.slots }()
-		case <-r.Context().Done():
-			return
-		}
-	}
-	work := s.Work
-	if tenths := s.Slow.Load(); tenths > 0 {
-		work = work * time.Duration(tenths) / 10
-	}
 	select {
-	case <-time.After(work):
+	case <-time.After(s.Work):
 	case <-r.Context().Done():
 		return
 	}
@@ -202,19 +172,6 @@
 	return at, by, ok
 }
 
-// Drain says that the server is draining, until that is acknowledged. It returns when and by which
-// address.
-func (s *Server) Drain(timeout time.Duration) (at time.Time, by string, ok bool) {
-	s.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	caller := &Server{ID: s.ID, fleet: s.fleet, next: s.next}
-	by, ok = caller.call(ctx, "/Instances.Heartbeat/", s.heartbeat())
-	at = time.Now()
-	s.fleet.Record.PrintfAt(at, "server %s (%s): draining acknowledged: %t, by %s", s.ID, s.Service, ok, by)
-	return at, by, ok
-}
-
 // call makes a call to the control plane: at the endpoint that the last answer named, then at one
 // machine of the list after another. It follows redirects twice.
 func (s *Server) call(ctx context.Context, path string, body []byte) (by string, ok bool) {
