--- a/review/4/main.go
+++ b/review/4/main.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	gap     = 30 * time.Millisecond // between two servers of a zone that leave together
-	serveOn = 14 * time.Second      // how long the servers serve on
-	margin  = 150 * time.Millisecond
+	gap        = 30 * time.Millisecond // between two servers of a zone that leave together
+	serveOn    = 14 * time.Second      // how long the servers serve on
+	emptyAfter = 2 * time.Second       // until an empty machine comes, the largest x of replace_core in the site file
+	margin     = 150 * time.Millisecond
 )
 
 func main() { os.Exit(run(os.Args[1], os.Getenv("TROUBLE") != "0")) }
@@ -35,12 +36,14 @@
 	}
 	const service = "meter-billing-office"
 	var leaver, first *harness2.Server
+	var all []*harness2.Server
 	for n := range 9 {
 		s, err := f.StartServer(n, "i-"+harness2.NewID()[:8], service, harness2.Zones[n%3], 10*time.Millisecond)
 		if err != nil {
 			return record.Verdict(harness2.NotRun, "not run: %v", err)
 		}
 		defer s.End()
+		all = append(all, s)
 		switch n { // of the zone of core machine 1, which takes their beats
 		case 0:
 			leaver = s
@@ -70,15 +73,26 @@
 	killedAt := time.Now()
 	if trouble {
 		f.Signal("controlplane", 1, syscall.SIGKILL)
-		record.PrintfAt(killedAt, "platform: core machine 1 loses power, and doesn't come back")
+		record.PrintfAt(killedAt, "platform: core machine 1 loses power and is gone for good")
 	}
 	if !ok || by != f.ControlAddr(1) {
 		return record.Verdict(harness2.NotRun, "not run: the server got no acknowledgement from core machine 1")
 	}
+	lastEvent := killedAt // at the core
+	if trouble {
+		time.Sleep(time.Until(killedAt.Add(emptyAfter)))
+		err = f.Replace()
+		if err != nil {
+			return record.Verdict(harness2.NotRun, "not run: %v", err)
+		}
+		lastEvent = time.Now()
+		record.PrintfAt(lastEvent, "platform: an empty core machine takes its place at another address")
+	}
 	time.Sleep(time.Until(acknowledged.Add(serveOn))) // the server serves on, and then ends
 	sent := clients.Stop()
-	// In touch are the frontend machines from contact_ms after the loss of power.
-	touchFrom, touchTo := killedAt.Add(harness2.ContactTime+margin), time.Now()
+	record.All(sent, all)
+	// In touch are the frontend machines from contact_ms after the last event at the core.
+	touchFrom, touchTo := lastEvent.Add(harness2.ContactTime+margin), time.Now()
 	if !trouble {
 		touchFrom = acknowledged
 	}
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -37,13 +37,14 @@
 		return record.Verdict(harness2.NotRun, "not run: %v", err)
 	}
 	const service = "meter-billing-office"
-	var leavers []*harness2.Server
+	var leavers, all []*harness2.Server
 	for n := range servers {
 		s, err := f.StartServer(n, "i-"+harness2.NewID()[:8], service, harness2.Zones[n%3], 10*time.Millisecond)
 		if err != nil {
 			return record.Verdict(harness2.NotRun, "not run: %v", err)
 		}
 		defer s.End()
+		all = append(all, s)
 		if n%3 == 0 && len(leavers) < leaving {
 			leavers = append(leavers, s)
 		}
@@ -87,6 +88,7 @@
 	}
 	time.Sleep(time.Until(killedAt.Add(serveOn)))
 	sent := clients.Stop()
+	record.All(sent, all)
 
 	broken, machines := 0, map[int]int{}
 	for i, s := range leavers {
--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -92,3 +94,15 @@
 		c.mu.Unlock()
 	}
 }
+
+// All adds to the record what was sent and answered, and what reached the servers.
+func (r *Record) All(sent map[string]*Sent, servers []*Server) {
+	for _, s := range slices.SortedFunc(maps.Values(sent), func(a, b *Sent) int { return a.At.Compare(b.At) }) {
+		r.PrintfAt(s.At, "sent %s to machine %d, answered at %s: %d %s", s.Attempt, s.Machine, r.At(s.Done), s.Status, s.Stamp)
+	}
+	for _, server := range servers {
+		for _, a := range server.Arrivals() {
+			r.PrintfAt(a.At, "server %s: %s arrives, run: %t", server.ID, a.Attempt, a.Ran)
+		}
+	}
+}
--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -62,6 +62,7 @@
 	mu    sync.Mutex
 	procs map[string]*exec.Cmd
 	cut   map[int]bool // machines that are cut off from all other machines
+	list  []int        // core machines in the operators' list
 	relay []net.Listener
 }
 
@@ -81,6 +82,9 @@
 	}
 	f := &Fleet{Cores: cores, Fronts: fronts, Record: record, programs: programs, dir: dir, extra: extra,
 		procs: make(map[string]*exec.Cmd), cut: make(map[int]bool)}
+	for machine := 1; machine <= cores; machine++ {
+		f.list = append(f.list, machine)
+	}
 	f.net2, f.net3 = 60+os.Getpid()%120, 1+os.Getpid()/120%200
 	for f.port = 21000 + os.Getpid()%8000; !f.portsFree(); f.port += 16 {
 		if f.port > 60000 {
@@ -91,7 +95,7 @@
 }
 
 func (f *Fleet) portsFree() bool {
-	for machine := 1; machine <= f.Cores+f.Fronts; machine++ {
+	for machine := 1; machine <= f.Spare(); machine++ {
 		for _, ip := range []string{f.ip(machine), f.innerIP(machine)} {
 			for offset := range portServer + 1 {
 				ln, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, f.port+offset))
@@ -133,23 +137,44 @@
 	return fmt.Sprintf("%s:%d", f.ip(machine), f.port+portControl)
 }
 
-// Controls returns the control_plane addresses of all core machines, the operators' list.
+// Spare returns the number of the core machine that may take the place of core machine 1. It runs
+// nothing at first.
+func (f *Fleet) Spare() int { return f.Cores + f.Fronts + 1 }
+
+// Controls returns the control_plane addresses of the operators' list.
 func (f *Fleet) Controls() (addrs []string) {
-	for machine := 1; machine <= f.Cores; machine++ {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, machine := range f.list {
 		addrs = append(addrs, f.ControlAddr(machine))
 	}
 	return addrs
 }
 
-// ZoneOf returns the zone of a machine.
-func (f *Fleet) ZoneOf(machine int) string { return Zones[(machine-1)%len(Zones)] }
+// Replace puts the spare machine, with an empty disk, in the place of core machine 1. The operators'
+// list follows after seed_lag_s.
+func (f *Fleet) Replace() error {
+	time.AfterFunc(3*time.Second, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.list[0] = f.Spare()
+	})
+	return f.Start("controlplane", f.Spare(), false)
+}
+
+func (f *Fleet) zone(machine int) int {
+	if machine == f.Spare() {
+		machine = 1
+	}
+	return (machine - 1) % len(Zones)
+}
 
 func (f *Fleet) settings(machine int, bootstrap bool) (string, error) {
 	dir := filepath.Join(f.dir, fmt.Sprint("m", machine))
 	if err := os.MkdirAll(filepath.Join(dir, "data"), 0o755); err != nil {
 		return "", err
 	}
-	core := machine <= f.Cores
+	core := machine <= f.Cores || machine == f.Spare()
 	class, serves := "frontend", "frontend"
 	if core {
 		class, serves = "core", "control_plane"
@@ -167,7 +192,7 @@
 	set("serves", serves)
 	set("ip_address", f.ip(machine))
 	set("loopback_ip", f.innerIP(machine)) // several machines share this host
-	zone := (machine - 1) % len(Zones)
+	zone := f.zone(machine)
 	set("zone", Zones[zone])
 	set("region", regions[zone])
 	for i, name := range Zones {
@@ -181,7 +206,7 @@
 		set("listen_addresses.readiness", f.readyAddr(machine))
 	}
 	set("internal_port_range", fmt.Sprintf("%d,%d", f.port+portPeer, f.port+portLast))
-	set("seed_addresses", strings.Join(f.Controls()[:min(3, f.Cores)], ","))
+	set("seed_addresses", strings.Join(f.Controls(), ","))
 	set("bootstrap", fmt.Sprint(bootstrap))
 	set("counts_toward_quorum", fmt.Sprint(core))
 	set("limits.cpu_share", "0.4")
@@ -248,7 +273,7 @@
 
 // StartAll starts the relay and all processes on empty disks, as at the first start of the system.
 func (f *Fleet) StartAll() error {
-	for machine := 1; machine <= f.Cores+f.Fronts; machine++ {
+	for machine := 1; machine <= f.Spare(); machine++ {
 		ln, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", f.ip(machine), f.port+portPeer))
 		if err != nil {
 			return err
