--- /dev/null
+++ b/internal/upstream/httpclient/conn.go
@@ -0,0 +1,213 @@
+package httpclient
+
+// This file contains a connection to a server: how a request is written on it, and how the answers that
+// arrive on it are matched to the request in flight.
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"saddleport/choice"
+	"saddleport/internal/httpwire"
+)
+
+// conn is a connection to a server. Its fields are guarded by the mutex of its pool.
+type conn struct {
+	pool    *Pool
+	server  *server
+	nc      net.Conn
+	reader  *httpwire.Reader
+	call    *call // the call of the request in flight; nil: no request is in flight, or its call has ended
+	busy    bool  // an answer is pending
+	writing bool  // the request is not completely written yet
+	// These describe the request in flight.
+	fanOut bool
+	method string
+	id     string // id of the query, which the answer must carry
+	sentAt time.Time
+
+	used           bool // an answer has arrived on the connection
+	idleSince      time.Time
+	keepAliveUntil time.Time // no request is sent after this time, because the server may close the connection; zero: unknown
+	closed         bool
+	draining       bool // the connection accepts no further request and is closed once it is idle
+}
+
+// send writes the request of a call on an idle connection. Attempt.Text is the request as httpserver
+// serializes it; send adds the headers with the remaining time and the id of the server.
+func (c *conn) send(k *call, now time.Time) {
+	a := k.attempt
+	at := strings.Index(a.Text, "\r\n\r\n") + 2
+	ms := max(a.Deadline.Sub(now).Milliseconds(), 1)
+	buf := make([]byte, 0, len(a.Text)+96+len(c.server.ID))
+	buf = append(buf, a.Text[:at]...)
+	buf = append(buf, "X-Saddleport-Deadline-Ms: "...)
+	buf = strconv.AppendInt(buf, ms, 10)
+	buf = append(buf, "\r\nX-Saddleport-Target-Instance: "...)
+	buf = append(buf, c.server.ID...)
+	buf = append(buf, "\r\n"...)
+	buf = append(buf, a.Text[at:]...)
+	k.conn, c.call, c.busy, c.sentAt, c.fanOut = c, k, true, now, a.FanOut()
+	c.method, _, _ = strings.Cut(a.Text[:at], " ")
+	c.id = a.QueryID()
+	headSize := bytes.Index(buf, []byte("\r\n\r\n")) + 4
+	c.nc.SetWriteDeadline(now.Add(writeTimeout))
+	if len(buf) <= directWriteSize {
+		n, err := c.nc.Write(buf)
+		c.noteWritten(n >= headSize, err)
+		return
+	}
+	c.writing = true
+	go func() {
+		n, err := c.nc.Write(buf)
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		c.writing = false
+		c.noteWritten(n >= headSize, err)
+	}()
+}
+
+// noteWritten closes a connection on which a request could not be written completely. A server that
+// did not receive the complete head cannot have run the request. If the complete head was
+// written, it is unknown whether the server ran the request.
+func (c *conn) noteWritten(headWritten bool, err error) {
+	switch {
+	case err == nil:
+	case headWritten:
+		c.closeWith(choice.ConnectionLost)
+	default:
+		c.closeWith(choice.NoConnection)
+	}
+}
+
+// closeWith closes a connection. The call in flight on it, if there is one, ends with the verdict.
+func (c *conn) closeWith(v choice.Verdict) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.nc.Close()
+	p, s := c.pool, c.server
+	p.conns--
+	p.Exchange.Counters.ServerConns.Add(-1)
+	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
+	if c.call != nil {
+		if v == choice.ConnectionLost {
+			p.Exchange.Counters.Resets.Add(1)
+			if p.Mutations.LostIsUnsent {
+				v = choice.NoConnection
+			}
+		}
+		p.finish(c.call, v, nil, "")
+	}
+	if len(s.waiting) > 0 {
+		p.openConn(s)
+	}
+	p.forget(s)
+}
+
+// release makes a connection idle after an answer, or closes it if keep is false or it is draining.
+// A connection that becomes idle takes the next waiting call.
+func (c *conn) release(keep bool) {
+	c.busy, c.call, c.used, c.idleSince = false, nil, true, time.Now()
+	if !keep || c.draining {
+		c.closeWith(choice.ConnectionLost)
+		return
+	}
+	// The connection goes to the end of the list: the connection that became idle last is used first, so
+	// that connections that are not needed reach idleTimeout and are closed.
+	if i := slices.Index(c.server.conns, c); i >= 0 {
+		c.server.conns = append(slices.Delete(c.server.conns, i, i+1), c)
+	}
+	if len(c.server.waiting) > 0 {
+		k := c.server.waiting[0]
+		c.server.waiting = c.server.waiting[1:]
+		c.send(k, c.idleSince)
+	}
+}
+
+// ---- The read goroutine of a connection.
+
+// readLoop handles incoming answers until the connection is closed.
+func (c *conn) readLoop() {
+	for strayAnswers := 0; ; {
+		err := c.reader.Await()
+		c.pool.mu.Lock()
+		method, busy := c.method, c.busy
+		if err == nil && !busy { // no answer is pending
+			c.pool.Exchange.Counters.MalformedAnswers.Add(1)
+			err = errors.New("bytes arrived while no answer was pending")
+		}
+		if err != nil {
+			c.closeWith(choice.ConnectionLost)
+			c.pool.mu.Unlock()
+			return
+		}
+		c.pool.mu.Unlock()
+		response, err := c.reader.ResponseTo(method)
+		c.pool.mu.Lock()
+		if c.closed {
+			c.pool.mu.Unlock()
+			return
+		}
+		if err == nil && strayAnswers < maxStrayAnswers {
+			if id := response.Header.Get(headerAttemptID); id != "" && id != c.id && !c.pool.Mutations.AnyID {
+				// This is a second answer to an earlier request, for which no call waits any more.
+				// The answer to the pending request may still follow.
+				strayAnswers++
+				c.draining = true
+				c.pool.Exchange.Counters.LateAnswers.Add(1)
+				c.pool.mu.Unlock()
+				continue
+			}
+		}
+		// An answer may arrive before the request is completely written. The connection must not
+		// be reused then: the server would read the next request as the rest of the body.
+		keep := err == nil && response.KeepAlive && c.reader.Buffered() == 0 && (!c.writing || c.pool.Mutations.ReuseEarly)
+		v, value := choice.ServerError, ""
+		var load []choice.Reading
+		switch {
+		case err != nil:
+			var malformed *httpwire.Error
+			if v = choice.ConnectionLost; errors.As(err, &malformed) {
+				v = choice.ServerError
+				c.pool.Exchange.Counters.MalformedAnswers.Add(1)
+			}
+		default:
+			c.keepAliveUntil = keepAliveEnd(response, time.Now())
+			id := c.id
+			if c.pool.Mutations.AnyID {
+				id = response.Header.Get(headerAttemptID)
+			}
+			v, value = evaluate(response, id, c.fanOut)
+			load = parseLoad(response.Header.Get(headerLoad))
+		}
+		if c.call != nil {
+			c.pool.finish(c.call, v, load, value)
+		}
+		c.release(keep)
+		closed := c.closed
+		c.pool.mu.Unlock()
+		if closed {
+			return
+		}
+	}
+}
+
+// keepAliveEnd returns the time until which the connection may be used according to the Keep-Alive
+// header of an answer, less keepAliveMargin. It returns the zero time if the header gives no
+// timeout.
+func keepAliveEnd(p *httpwire.Response, now time.Time) time.Time {
+	for option := range strings.SplitSeq(p.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(option), "=")
+		if n, err := strconv.ParseFloat(value, 64); err == nil && strings.EqualFold(name, "timeout") && n >= 0 && n < 1e6 {
+			return now.Add(max(time.Duration(n*float64(time.Second))-keepAliveMargin, 0))
+		}
+	}
+	return time.Time{}
+}
