--- a/internal/downstream/httpserver/requests_test.go
+++ b/internal/downstream/httpserver/requests_test.go
@@ -112,6 +112,26 @@
 			So(ans.StatusCode, ShouldEqual, 200)
 			So(body, ShouldEqual, "mine")
 		})
+		// Guards against a second copy of "not executed" passing for the answer to the next send of the same
+		// request, which then runs although the proxy sends it again.
+		Convey("that is sent again after a rejection does not run twice if the rejection arrives twice", func() {
+			rejection := standin.Reply{Status: 503, NotExecuted: true}
+			var rejectedOn atomic.Int64
+			p, s, c, r := newProxyWithServer(t, func(n int, seen standin.Seen) standin.Reply {
+				if n == 1 {
+					rejectedOn.Store(int64(seen.Conn))
+					return rejection
+				}
+				if int64(seen.Conn) == rejectedOn.Load() {
+					return standin.Reply{Before: &rejection, Body: "booked"}
+				}
+				return standin.Reply{Body: "booked"}
+			})
+			p.configure(strings.Replace(testConfig, `"target_service":"one","max_attempts":1`, `"target_service":"one","max_attempts":4`, 1))
+			ans, _ := send(t, c, r, "POST", "/book/1", "b10", "body")
+			So(runsOf(s, "b10"), ShouldEqual, 1)
+			So(ans.StatusCode, ShouldEqual, 200)
+		})
 		Convey("runs at most once when the server has closed the connections", func() {
 			_, s, c, r := newProxyWithServer(t, func(int, standin.Seen) standin.Reply { return standin.Reply{Body: "ok"} })
 			ans, _ := send(t, c, r, "POST", "/book/1", "b9", "body")
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -11,7 +11,7 @@
 )
 
 // Attempt is one attempt to execute a part. The exported fields do not change once
-// the upstream side has the attempt.
+// the upstream side has the attempt, except ConnNumber.
 type Attempt struct {
 	PartID      string
 	Server      string
@@ -20,6 +20,7 @@
 	Text        string
 	Deadline    time.Time // when the exchange stops waiting for the attempt
 	ExtraFields string    // further options for the frame to the leaf server, ",name=value" each; the upstream side adds the remaining time
+	ConnNumber  uint64    // number of the connection that carried the attempt; 0: none. It is owned by the upstream side.
 
 	sentAt        time.Time
 	part          *partState
@@ -36,6 +37,10 @@
 // QueryID returns the id of the query that the attempt belongs to.
 func (a *Attempt) QueryID() string { return a.part.query.ID }
 
+// Earlier returns the earlier attempts of the part, the first one first. It may be called only on the
+// exchange's goroutine, for example in Upstream.Send. The slice may be kept: it does not change.
+func (a *Attempt) Earlier() []*Attempt { return a.part.attempts[:a.Index:a.Index] }
+
 // FanOut returns Query.FanOut of the query that the attempt belongs to.
 func (a *Attempt) FanOut() bool { return a.part.query.FanOut }
 
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -19,6 +19,7 @@
 // conn is a connection to a server. Its fields are guarded by the mutex of its pool.
 type conn struct {
 	pool    *Pool
+	number  uint64 // distinguishes the connection from all others of the pool
 	server  *server
 	nc      net.Conn
 	reader  *httpwire.Reader
@@ -53,6 +54,7 @@
 	buf = append(buf, "\r\n"...)
 	buf = append(buf, a.Text[at:]...)
 	k.conn, c.call, c.busy, c.sentAt, c.fanOut = c, k, true, now, a.FanOut()
+	a.ConnNumber = c.number
 	c.method, _, _ = strings.Cut(a.Text[:at], " ")
 	c.id = a.QueryID()
 	headSize := bytes.Index(buf, []byte("\r\n\r\n")) + 4
@@ -112,7 +114,7 @@
 }
 
 // release makes a connection idle after an answer, or closes it if keep is false or it is draining.
-// A connection that becomes idle takes the next waiting call.
+// A connection that becomes idle takes the first waiting call that may use it.
 func (c *conn) release(keep bool) {
 	c.busy, c.call, c.used, c.idleSince = false, nil, true, time.Now()
 	if !keep || c.draining {
@@ -124,9 +126,10 @@
 	if i := slices.Index(c.server.conns, c); i >= 0 {
 		c.server.conns = append(slices.Delete(c.server.conns, i, i+1), c)
 	}
-	if len(c.server.waiting) > 0 {
-		k := c.server.waiting[0]
-		c.server.waiting = c.server.waiting[1:]
+	waiting := c.server.waiting
+	if i := slices.IndexFunc(waiting, func(k *call) bool { return k.mayUse(c, c.idleSince) }); i >= 0 {
+		k := waiting[i]
+		c.server.waiting = slices.Delete(waiting, i, i+1)
 		c.send(k, c.idleSince)
 	}
 }
--- a/internal/upstream/httpclient/httpclient.go
+++ b/internal/upstream/httpclient/httpclient.go
@@ -66,6 +66,8 @@
 	servers map[string]*server
 	calls   map[*exchange.Attempt]*call
 	conns   int // open or being opened
+
+	lastConnNumber uint64
 }
 
 type server struct {
@@ -80,12 +82,23 @@
 // call is an attempt, with the connection that carries it.
 type call struct {
 	attempt   *exchange.Attempt
+	earlier   []*exchange.Attempt // the earlier attempts of the same part
 	server    *server
 	conn      *conn // nil: the call waits for a connection
 	cancelled bool  // the exchange no longer needs the answer, which still shows the state of the server
 	done      bool
 }
 
+// mayUse reports whether an idle connection may carry the call. A connection that has carried an earlier
+// attempt of the same part may not: answers carry the id of the query, so a second copy of the answer to
+// that attempt could not be told from the answer to this one.
+func (k *call) mayUse(c *conn, now time.Time) bool {
+	if k.attempt.NonIdempotent() && now.Sub(c.idleSince) > nonIdempotentMaxIdle {
+		return false
+	}
+	return !slices.ContainsFunc(k.earlier, func(a *exchange.Attempt) bool { return a.ConnNumber == c.number })
+}
+
 // New returns a pool that knows no server yet.
 func New(cfg Config) *Pool {
 	return &Pool{Config: cfg, dial: transport.Dialer(dialTimeout), servers: make(map[string]*server),
@@ -153,7 +166,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range attempts {
-		k := &call{attempt: a, server: p.servers[a.Server]}
+		k := &call{attempt: a, earlier: a.Earlier(), server: p.servers[a.Server]}
 		p.calls[a] = k
 		p.assign(k)
 	}
@@ -239,8 +252,8 @@
 			c.closeWith(choice.ConnectionLost)
 			continue
 		}
-		if k.attempt.NonIdempotent() && now.Sub(c.idleSince) > nonIdempotentMaxIdle {
-			break // the others have been idle even longer
+		if !k.mayUse(c, now) {
+			continue
 		}
 		c.send(k, now)
 		return
@@ -296,7 +309,8 @@
 		return
 	}
 	s.dialFailures, s.dialNotBefore = 0, time.Time{}
-	c := &conn{pool: p, server: s, nc: nc, reader: httpwire.NewReaderSize(nc, readBufferSize, maxAnswerHead, maxAnswerBody), idleSince: time.Now()}
+	p.lastConnNumber++
+	c := &conn{pool: p, number: p.lastConnNumber, server: s, nc: nc, reader: httpwire.NewReaderSize(nc, readBufferSize, maxAnswerHead, maxAnswerBody), idleSince: time.Now()}
 	s.conns = append(s.conns, c)
 	p.Exchange.Counters.ServerConns.Add(1)
 	go c.readLoop()
