--- a/internal/cluster/registry/registry.go
+++ b/internal/cluster/registry/registry.go
@@ -108,8 +108,9 @@
 // trackedServer is a server that sends its heartbeats to this machine or was adopted by it.
 type trackedServer struct {
 	server      Server
-	sequence    int64 // of the last heartbeat
-	lastHeardAt int64 // microseconds of the caller's clock
+	sequence    int64  // of the last heartbeat
+	lastHeardAt int64  // microseconds of the caller's clock
+	replicated  uint64 // version of its entry that a majority of the control plane stores; 0: none is known to be
 }
 
 // Registry tracks the servers whose heartbeats one control-plane machine receives. It is not safe for
@@ -199,6 +200,21 @@
 // Tracks reports whether a server sends its heartbeats to this machine or was adopted by it.
 func (r *Registry) Tracks(id string) bool { return r.tracked[id] != nil }
 
+// MarkReplicated records that a majority of the control plane stores a version of a server's entry. It has
+// no effect for a server that is not tracked.
+func (r *Registry) MarkReplicated(id string, version uint64) {
+	if tracked := r.tracked[id]; tracked != nil {
+		tracked.replicated = version
+	}
+}
+
+// IsReplicated reports whether MarkReplicated was called for a version of a server's entry, and the server
+// has been tracked since.
+func (r *Registry) IsReplicated(id string, version uint64) bool {
+	tracked := r.tracked[id]
+	return tracked != nil && version != 0 && tracked.replicated == version
+}
+
 // RemovedEntry returns the entry that removes a server which was unresponsive for long. A later
 // heartbeat restores the server.
 func RemovedEntry(entry gossip.Entry) gossip.Entry {
--- a/internal/compat/wire_test.go
+++ b/internal/compat/wire_test.go
@@ -32,6 +32,7 @@
 var messageTypes = map[string]any{
 	"rumour-pass":         &gossip.ExchangeRequest{},
 	"rumour-passed":       &gossip.ExchangeResponse{},
+	"rumour-pass-all":     &peer.PassRequest{},
 	"process":             &gossip.Process{},
 	"ring-after":          &peer.ProbeRequest{},
 	"ring-heard":          &peer.ProbeResponse{},
--- a/internal/node/controlplane/handover.go
+++ b/internal/node/controlplane/handover.go
@@ -46,19 +46,14 @@
 // leaveStatus reports whether this machine no longer has a vote, and whether it is useless to wait longer
 // for a learner that can take over its vote. Both are false if the loop does not answer before ctx ends.
 func (c *replicaRunner) leaveStatus(ctx context.Context) (left, noSuccessor bool) {
-	done := make(chan struct{})
-	if c.runOnLoop(ctx, func() {
-		left, noSuccessor = c.replica.HasLeft(c.now()), c.replica.Consensus.CannotHandOver(c.now())
-		close(done)
-	}) != nil {
-		return false, false
-	}
-	select {
-	case <-done:
-		return left, noSuccessor
-	case <-ctx.Done():
+	var hasLeft, cannotHandOver bool
+	err := c.runAndWait(ctx, func() {
+		hasLeft, cannotHandOver = c.replica.HasLeft(c.now()), c.replica.Consensus.CannotHandOver(c.now())
+	})
+	if err != nil {
 		return false, false
 	}
+	return hasLeft, cannotHandOver
 }
 
 // requireQuorum returns an error that redirects a caller to another machine if this machine has not
@@ -68,23 +63,16 @@
 	defer cancel()
 	var hasQuorum bool
 	var peersWithQuorum []string
-	done := make(chan struct{})
-	err := c.runOnLoop(ctx, func() {
+	err := c.runAndWait(ctx, func() {
 		now := c.now()
 		hasQuorum = c.replica.Consensus.HasQuorum(now)
 		for _, member := range c.replica.Consensus.PeersWithQuorum(now) {
 			peersWithQuorum = append(peersWithQuorum, member.Addr)
 		}
-		close(done)
 	})
 	if err != nil {
 		return retryLater(err)
 	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return retryLater(ctx.Err())
-	}
 	if hasQuorum {
 		return nil
 	}
--- a/internal/node/controlplane/replica.go
+++ b/internal/node/controlplane/replica.go
@@ -123,6 +123,21 @@
 	}
 }
 
+// runAndWait runs f on the loop and waits until it has returned. After an error f may still run, so the
+// caller must not use what it sets.
+func (c *replicaRunner) runAndWait(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	if err := c.runOnLoop(ctx, func() { f(); close(done) }); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // run steps the state machine until ctx ends. A panic on the loop, a violated invariant, ends the
 // process with exit status 2.
 func (c *replicaRunner) run(ctx context.Context) {
--- a/internal/node/controlplane/server.go
+++ b/internal/node/controlplane/server.go
@@ -219,25 +219,24 @@
 }
 
 // handleHeartbeat handles a heartbeat. One that reports draining is recorded in any case, but acknowledged
-// only with a quorum.
+// only once a majority of the control plane stores it.
 func (s *controlPlane) handleHeartbeat(ctx context.Context, caller rpc.RequestInfo, heartbeat registry.Heartbeat) (HeartbeatResponse, error) {
 	response, err := s.recordHeartbeat(caller, heartbeat)
 	if err == nil && heartbeat.State == registry.LifecycleDraining {
-		err = s.replica.requireQuorum(ctx)
+		err = s.acknowledgeDeparture(ctx, caller.Name)
 	}
 	return response, err
 }
 
 // handleDeregister handles the last call of a server. The deregistration is recorded in any case, but
-// acknowledged only with a quorum.
+// acknowledged only once a majority of the control plane stores it. Without an acknowledgement the server
+// calls another machine.
 func (s *controlPlane) handleDeregister(ctx context.Context, caller rpc.RequestInfo, _ rpc.Raw) (rpc.Empty, error) {
 	events.ServerDeregistered.Log("server", caller.Name)
 	s.Mu.Lock()
 	s.PutLocked(s.registry.HandleDeregister(caller.Name))
 	s.Mu.Unlock()
-	// Machines that are unreachable from here do not learn of the deregistration. In that case it is not
-	// acknowledged, and the server calls another machine.
-	return rpc.Empty{}, s.replica.requireQuorum(ctx)
+	return rpc.Empty{}, s.acknowledgeDeparture(ctx, caller.Name)
 }
 
 // recordHeartbeat passes a heartbeat to the registry and gossips the change, if there is one.
--- a/internal/node/fleettest/fleet_test.go
+++ b/internal/node/fleettest/fleet_test.go
@@ -180,12 +180,30 @@
 	return response.StatusCode, string(text)
 }
 
-// shows reports whether a text occurs in the show output of a program.
-func (f *fleet) shows(program string, machine int, text string) bool {
+// show returns the show output of a program, or nothing if it does not respond.
+func (f *fleet) show(program string, machine int) string {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	shown, err := admin.ShowCall.Invoke(ctx, rpc.NewClient(time.Second), admin.ShowAddr(program, f.settings(machine, false)), "", nil)
-	return err == nil && strings.Contains(shown.Text(), text)
+	if err != nil {
+		return ""
+	}
+	return shown.Text()
+}
+
+// shows reports whether a text occurs in the show output of a program.
+func (f *fleet) shows(program string, machine int, text string) bool {
+	return strings.Contains(f.show(program, machine), text)
+}
+
+// showRow returns the first line of the show output of a program that contains a text, or nothing.
+func (f *fleet) showRow(program string, machine int, text string) string {
+	for row := range strings.Lines(f.show(program, machine)) {
+		if strings.Contains(row, text) {
+			return row
+		}
+	}
+	return ""
 }
 
 // configuration returns a configuration with one route, whose path prefix is given, to the service s.
--- a/internal/node/fleettest/losses_test.go
+++ b/internal/node/fleettest/losses_test.go
@@ -138,3 +138,51 @@
 		}
 	})
 }
+
+// Guards against an acknowledged departure that only the machine which acknowledged it has in memory: it
+// would be lost with that machine, and a machine that has just been cut off would acknowledge it.
+func TestDepartureIsReplicated(t *testing.T) {
+	Convey("Three control-plane machines", t, func() {
+		f := newFleet(t)
+		for m := 1; m <= 3; m++ {
+			f.start(admin.ControlPlane, m, true, controlplane.Run)
+		}
+		f.replace(1, configuration(1, "a"))
+		available := func(machine int, id string) bool {
+			return strings.Contains(f.showRow(admin.ControlPlane, machine, id), "available")
+		}
+		servers := make([]*standin.Server, 6)
+		for i := range servers {
+			server, err := standin.NewServer(fmt.Sprint("i-", i), nil)
+			So(err, ShouldBeNil)
+			Reset(server.Close)
+			servers[i] = server
+			So(f.heartbeat(1, server, "s", "available", 1), ShouldEqual, 200)
+		}
+		for _, server := range servers {
+			for m := 1; m <= 3; m++ {
+				waitFor("every machine knows the server", func() bool { return available(m, server.ID) })
+			}
+		}
+		Convey("acknowledge a departure once a majority knows it, however soon after another one", func() {
+			leave := func(server *standin.Server, draining bool) int {
+				if draining {
+					return f.heartbeat(1, server, "s", "draining", 2)
+				}
+				code, _ := f.call("POST", f.control(1), "/Instances.Deregister/"+server.ID, "")
+				return code
+			}
+			for i, server := range servers {
+				waitFor("the departure is acknowledged", func() bool { return leave(server, i%2 == 0) == 200 })
+				So(available(2, server.ID) && available(3, server.ID), ShouldBeFalse)
+			}
+		})
+		Convey("of which one has just lost the two others: it does not acknowledge a departure", func() {
+			f.kill(admin.ControlPlane, 2)
+			f.kill(admin.ControlPlane, 3)
+			So(f.heartbeat(1, servers[0], "s", "draining", 2), ShouldEqual, 503)
+			code, _ := f.call("POST", f.control(1), "/Instances.Deregister/"+servers[1].ID, "")
+			So(code, ShouldEqual, 503)
+		})
+	})
+}
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,10 +34,16 @@
 )
 
 var (
-	exchangeCall = rpc.Declare[gossip.ExchangeRequest, gossip.ExchangeResponse]("POST", "/Rumour.Pass", agentapi.MaxCallBytes, "agents and control-plane processes").WithCompression()
+	exchangeCall = rpc.Declare[PassRequest, gossip.ExchangeResponse]("POST", "/Rumour.Pass", agentapi.MaxCallBytes, "agents and control-plane processes").WithCompression()
 	probeCall    = rpc.Declare[ProbeRequest, ProbeResponse]("POST", "/Ring.After", 4<<10, "agents and control-plane processes")
 )
 
+// PassRequest is the request of a gossip call. Processes of releases without AllZones ignore that field.
+type PassRequest struct {
+	gossip.ExchangeRequest
+	AllZones bool `json:"z,omitempty"` // the receiver forwards the entries to all zones, as it does with its own
+}
+
 // ProbeRequest asks a process whether Target, which may be the process itself, is alive.
 type ProbeRequest struct {
 	Target string `json:"a"`
@@ -111,10 +118,15 @@
 
 // Serve registers the handlers of the calls of other processes.
 func (n *Node) Serve(mux *http.ServeMux) {
-	exchangeCall.Handle(mux, func(_ context.Context, _ rpc.RequestInfo, request gossip.ExchangeRequest) (gossip.ExchangeResponse, error) {
+	exchangeCall.Handle(mux, func(_ context.Context, _ rpc.RequestInfo, request PassRequest) (gossip.ExchangeResponse, error) {
 		n.Mu.Lock()
 		defer n.Mu.Unlock()
-		return n.Members.HandleExchange(n.Now(), request), nil
+		if request.AllZones {
+			for _, entry := range request.Entries {
+				n.PutLocked(entry)
+			}
+		}
+		return n.Members.HandleExchange(n.Now(), request.ExchangeRequest), nil
 	})
 	probeCall.Handle(mux, func(ctx context.Context, _ rpc.RequestInfo, request ProbeRequest) (ProbeResponse, error) {
 		n.Mu.Lock()
@@ -242,13 +254,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	ans, err := exchangeCall.Invoke(ctx, n.Client, call.To, "", call.Request)
+	ans, err := exchangeCall.Invoke(ctx, n.Client, call.To, "", PassRequest{ExchangeRequest: call.Request})
 	n.Mu.Lock()
 	defer n.Mu.Unlock()
 	n.Members.HandleExchangeResult(n.Now(), call, ans, err == nil)
 	n.processOutputLocked()
 }
 
+// StoreAt stores an entry at another process, which forwards it to all zones. It reports whether that
+// process has confirmed within timeout that it stores the entry or a newer version of it.
+func (n *Node) StoreAt(ctx context.Context, timeout time.Duration, addr string, entry gossip.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	exchange := gossip.ExchangeRequest{From: n.Self.Addr, Entries: []gossip.Entry{entry}, Want: []string{entry.Key}}
+	response, err := exchangeCall.Invoke(ctx, n.Client, addr, "", PassRequest{ExchangeRequest: exchange, AllZones: true})
+	return err == nil && slices.ContainsFunc(response.Entries, func(stored gossip.Entry) bool {
+		return stored.Key == entry.Key && stored.Version >= entry.Version
+	})
+}
+
 // leave announces that this process ends and waits for its calls in flight.
 func (n *Node) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
