--- a/internal/cluster/gossip/gossiper.go
+++ b/internal/cluster/gossip/gossiper.go
@@ -56,6 +56,19 @@
 	Entries  []Entry        `json:"n,omitempty"` // entries that the request asked for
 }
 
+// PassRequest is an ExchangeRequest as it is sent. Releases without AllZones ignore that field.
+type PassRequest struct {
+	ExchangeRequest
+	AllZones bool `json:"z,omitempty"` // the receiver forwards the entries to all zones, as it does with its own
+}
+
+// PassResponse is an ExchangeResponse as it is sent. A response of a release without Synced does not have
+// that field.
+type PassResponse struct {
+	ExchangeResponse
+	Synced bool `json:"y,omitempty"` // in responses to a checksum or digest: the responder's store is complete
+}
+
 // OutboundCall is a call to make. Its result must be passed to HandleResponse exactly once.
 type OutboundCall struct {
 	ID      uint64
@@ -103,6 +116,8 @@
 	to         string
 	alternates []string // for pushUpdate: addresses to try next if the call fails
 	update     Update   // for pushUpdate
+	pull       bool     // for compareDigest and exchangeEntries: part of a pull (pullAll)
+	peerSynced bool     // for exchangeEntries: the peer's store was complete
 }
 
 // Gossiper runs the gossip protocol of one process. It is not safe for concurrent use.
@@ -118,6 +133,7 @@
 	backoffs map[string]peerBackoff
 	inFlight map[uint64]callState
 	lost     lostPeers
+	sync     syncState
 	leaving  bool // AnnounceLeave was called: the process does not refute its own tombstone
 	lastID   uint64
 	outbox   []OutboundCall
@@ -129,7 +145,7 @@
 // New returns the gossiper of a process that knows only itself and the seeds.
 func New(now int64, cfg Config, self Process, seeds []string, rng *rand.Rand) *Gossiper {
 	gossiper := &Gossiper{Store: NewStore(), cfg: cfg, self: self, rng: rng, seeds: seeds, peers: make(map[string]Process),
-		backoffs: make(map[string]peerBackoff), inFlight: make(map[uint64]callState), lost: newLostPeers(), joinInterval: cfg.JoinRetryMin}
+		backoffs: make(map[string]peerBackoff), inFlight: make(map[uint64]callState), lost: newLostPeers(), sync: newSyncState(now), joinInterval: cfg.JoinRetryMin}
 	gossiper.Put(now, gossiper.selfEntry(initialVersion), true)
 	return gossiper
 }
@@ -223,12 +239,13 @@
 }
 
 // HandleRequest processes the request of another process and returns the response.
-func (g *Gossiper) HandleRequest(now int64, request ExchangeRequest) ExchangeResponse {
+func (g *Gossiper) HandleRequest(now int64, request PassRequest) PassResponse {
 	delete(g.backoffs, request.From)
 	for _, entry := range request.Entries {
-		g.Put(now, entry, false)
+		g.Put(now, entry, request.AllZones)
 	}
-	response := ExchangeResponse{Want: g.Store.Missing(request.Versions), Entries: g.Store.GetAll(request.Want)}
+	response := PassResponse{Synced: (request.Checksum != 0 || request.Digest != nil) && g.IsSynced(now)}
+	response.ExchangeResponse = ExchangeResponse{Want: g.Store.Missing(request.Versions), Entries: g.Store.GetAll(request.Want)}
 	if request.Checksum != 0 && request.Digest == nil {
 		response.Differs = request.Checksum != g.checksum()
 	}
@@ -257,7 +274,7 @@
 }
 
 // HandleResponse processes the result of a call; ok is false if the call failed.
-func (g *Gossiper) HandleResponse(now int64, id uint64, response ExchangeResponse, ok bool) {
+func (g *Gossiper) HandleResponse(now int64, id uint64, response PassResponse, ok bool) {
 	call, known := g.inFlight[id]
 	if !known {
 		return
@@ -286,18 +303,33 @@
 	case compareChecksum:
 		if response.Differs {
 			g.differencesFound++
+		}
+		if response.Synced && !g.IsSynced(now) && !g.pullInFlight() {
+			g.pullAll(call.to)
+		} else if response.Differs {
 			g.CompareDigests(call.to)
 		}
 	case compareDigest:
-		if len(response.Buckets) == 0 {
-			return
-		}
-		if newer, want := g.Store.Diff(response.Versions, response.Buckets); len(newer)+len(want) > 0 {
-			g.startCall(callState{purpose: exchangeEntries, to: call.to}, ExchangeRequest{Entries: newer, Want: want})
+		g.exchangeDifferences(call, response)
+	case exchangeEntries:
+		if call.pull {
+			g.sync.finishPull(call.peerSynced)
 		}
 	}
 }
 
+// exchangeDifferences handles the response to a digest: it sends the entries that the peer lacks and
+// requests those that this process lacks.
+func (g *Gossiper) exchangeDifferences(call callState, response PassResponse) {
+	newer, want := g.Store.Diff(response.Versions, response.Buckets)
+	switch {
+	case len(newer)+len(want) > 0:
+		g.startCall(callState{purpose: exchangeEntries, to: call.to, pull: call.pull, peerSynced: response.Synced}, ExchangeRequest{Entries: newer, Want: want})
+	case call.pull:
+		g.sync.finishPull(response.Synced)
+	}
+}
+
 // CompareChecksums sends one checksum to a peer to find out whether both store the same entries. If
 // they do not, CompareDigests follows.
 func (g *Gossiper) CompareChecksums(addr string) {
@@ -311,18 +343,14 @@
 	g.startCall(callState{purpose: compareDigest, to: addr}, ExchangeRequest{Digest: &digest})
 }
 
-// Tick calls the seeds while no other process is known, occasionally calls lost processes, and
-// forwards pending entries.
+// Tick pulls the entries of other processes after the start and while none is known, occasionally calls
+// lost processes, and forwards pending entries.
 func (g *Gossiper) Tick(now int64) {
-	if len(g.peers) == 0 && now >= g.nextJoinAt {
+	if g.mustJoin() && now >= g.nextJoinAt {
 		g.nextJoinAt, g.joinInterval = now+g.joinInterval, min(g.joinInterval*3/2, g.cfg.JoinRetryMax)
-		for _, addr := range g.seeds {
-			if addr != g.self.Addr {
-				g.CompareDigests(addr)
-			}
-		}
+		g.join()
 	}
-	if len(g.peers) > 0 {
+	if !g.mustJoin() {
 		g.joinInterval = g.cfg.JoinRetryMin
 	}
 	g.rejoin(now)
@@ -342,7 +370,7 @@
 			next = at
 		}
 	}
-	if len(g.peers) == 0 {
+	if g.mustJoin() {
 		wakeAt(g.nextJoinAt)
 	}
 	if !g.Store.NothingPending() {
--- a/internal/cluster/gossip/rejoin_test.go
+++ b/internal/cluster/gossip/rejoin_test.go
@@ -24,7 +24,7 @@
 		g.Tick(now)
 		for _, call := range g.TakeCalls() {
 			calls[call.To]++
-			g.HandleResponse(now, call.ID, ExchangeResponse{}, false)
+			g.HandleResponse(now, call.ID, PassResponse{}, false)
 		}
 	}
 	return calls
@@ -113,7 +113,7 @@
 		g.Put(1, processEntry("peer", initialVersion), false)
 		g.CompareChecksums("peer")
 		for _, call := range g.TakeCalls() {
-			g.HandleResponse(2, call.ID, ExchangeResponse{}, false)
+			g.HandleResponse(2, call.ID, PassResponse{}, false)
 		}
 		So(g.Reachable(3, "peer"), ShouldBeFalse)
 		g.Put(4, processEntry("peer", initialVersion+2), false)
--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -118,6 +118,9 @@
 // Reachable reports whether a peer answered the last call to it.
 func (m *Machine) Reachable(now int64, addr string) bool { return m.gossiper.Reachable(now, addr) }
 
+// IsSynced reports whether the gossip store is complete, see gossip.Gossiper.IsSynced.
+func (m *Machine) IsSynced(now int64) bool { return m.gossiper.IsSynced(now) }
+
 // Holds reports whether this process holds a role, and under which epoch.
 func (m *Machine) Holds(role string) (epoch uint64, holds bool) { return m.leases.Holds(role) }
 
@@ -169,13 +172,13 @@
 func (m *Machine) Put(now int64, entry gossip.Entry) { m.gossiper.Put(now, entry, true) }
 
 // HandleExchange answers a gossip exchange of another process.
-func (m *Machine) HandleExchange(now int64, request gossip.ExchangeRequest) gossip.ExchangeResponse {
+func (m *Machine) HandleExchange(now int64, request gossip.PassRequest) gossip.PassResponse {
 	m.detector.Observe(now, request.From)
 	return m.gossiper.HandleRequest(now, request)
 }
 
 // HandleExchangeResult handles the outcome of a gossip call; ok is false if it failed.
-func (m *Machine) HandleExchangeResult(now int64, call gossip.OutboundCall, response gossip.ExchangeResponse, ok bool) {
+func (m *Machine) HandleExchangeResult(now int64, call gossip.OutboundCall, response gossip.PassResponse, ok bool) {
 	if ok {
 		m.detector.Observe(now, call.To)
 	}
--- a/internal/lab/measure/gossip.go
+++ b/internal/lab/measure/gossip.go
@@ -129,14 +129,14 @@
 	incarnation := p.incarnation
 	for _, o := range out.Calls {
 		w.call(p, o.To, jsonSize(o.Request), func(q *proc) (any, int) {
-			ans := q.members.HandleExchange(w.now, o.Request)
+			ans := q.members.HandleExchange(w.now, gossip.PassRequest{ExchangeRequest: o.Request})
 			q.stepSoon()
 			return ans, jsonSize(ans)
 		}, func(ans any, ok bool) {
 			if p.incarnation != incarnation {
 				return
 			}
-			a, _ := ans.(gossip.ExchangeResponse)
+			a, _ := ans.(gossip.PassResponse)
 			p.members.HandleExchangeResult(w.now, o, a, ok)
 			p.flush()
 			p.stepSoon()
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -33,11 +33,12 @@
 	incarnation string       // of this agent; a proxy that followed an earlier incarnation gets all entries
 	lastCallAt  atomic.Int64 // when the last call of the proxy ended, by node.Now; 0: none has
 	pending     atomic.Int64 // calls of the proxy that wait for a response
+	sentSynced  bool         // a response has reported to the proxy that the store is complete; guarded by node.Mu
 }
 
 // answer returns the entries that changed since the proxy's last call. If there are none it waits until
-// one changes, at most agentapi.FeedWait.
-func (f *feed) answer(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedResponse, error) {
+// one changes or the store becomes complete, at most agentapi.FeedWait.
+func (f *feed) answer(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedUpdate, error) {
 	f.pending.Add(1)
 	defer func() { f.lastCallAt.Store(f.node.Now()); f.pending.Add(-1) }()
 	node := f.node
@@ -49,22 +50,23 @@
 		request.Since = 0
 	}
 	timeout := time.After(agentapi.FeedWait)
-	for node.Store.Seq() <= request.Since {
+	for timedOut := false; !timedOut && node.Store.Seq() <= request.Since && node.IsSynced() == f.sentSynced; {
 		changed := node.Changed
 		node.Mu.Unlock()
 		select {
 		case <-changed:
 		case <-timeout:
-			return agentapi.FeedResponse{Incarnation: f.incarnation, Seq: request.Since}, nil
+			timedOut = true
 		case <-ctx.Done():
-			return agentapi.FeedResponse{}, ctx.Err()
+			return agentapi.FeedUpdate{}, ctx.Err()
 		}
 		node.Mu.Lock()
 	}
 	defer node.Mu.Unlock()
+	f.sentSynced = node.IsSynced()
 	configuration, _ := node.Store.Get(agentapi.ConfigurationKey)
-	return agentapi.FeedResponse{Incarnation: f.incarnation, Seq: node.Store.Seq(),
-		WantConfig: request.ConfigVersion > configuration.Version, Entries: node.Store.ChangedSince(request.Since)}, nil
+	return agentapi.FeedUpdate{Synced: f.sentSynced, FeedResponse: agentapi.FeedResponse{Incarnation: f.incarnation, Seq: node.Store.Seq(),
+		WantConfig: request.ConfigVersion > configuration.Version, Entries: node.Store.ChangedSince(request.Since)}}, nil
 }
 
 // waitForProxy waits until the proxy has ended, at most until graceMargin before the grace period ends.
--- a/internal/node/agentapi/feed.go
+++ b/internal/node/agentapi/feed.go
@@ -29,8 +29,14 @@
 	Entries     []gossip.Entry `json:"items,omitempty"`
 }
 
+// FeedUpdate is a FeedResponse as it is sent. An agent of a release without Synced does not send that field.
+type FeedUpdate struct {
+	FeedResponse
+	Synced bool `json:"synced,omitempty"` // the agent's store is complete: what it has not sent since its start does not exist
+}
+
 // FeedCall is the call by which a proxy follows the agent on its machine.
-var FeedCall = rpc.Declare[FeedRequest, FeedResponse]("POST", "/Feed", MaxCallBytes, "the proxy on the same machine")
+var FeedCall = rpc.Declare[FeedRequest, FeedUpdate]("POST", "/Feed", MaxCallBytes, "the proxy on the same machine")
 
 const (
 	FeedWait = 8 * time.Second // shorter than an rpc.Client waits for the header of a response
--- a/internal/node/fleettest/fleet_test.go
+++ b/internal/node/fleettest/fleet_test.go
@@ -353,15 +353,15 @@
 		var raw bytes.Buffer
 		So(json.Compact(&raw, []byte(configuration(5, "v5"))), ShouldBeNil)
 		mux, requests := http.NewServeMux(), make(chan agentapi.FeedRequest, 100)
-		agentapi.FeedCall.Handle(mux, func(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedResponse, error) {
+		agentapi.FeedCall.Handle(mux, func(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedUpdate, error) {
 			requests <- request
 			switch {
 			case len(request.Entries) > 0:
 				<-ctx.Done()
 			case request.Incarnation == "":
-				return agentapi.FeedResponse{Incarnation: "one", Seq: 1, Entries: []gossip.Entry{{Key: agentapi.ConfigurationKey, Version: 5 << 16, Value: raw.Bytes()}}}, nil
+				return agentapi.FeedUpdate{FeedResponse: agentapi.FeedResponse{Incarnation: "one", Seq: 1, Entries: []gossip.Entry{{Key: agentapi.ConfigurationKey, Version: 5 << 16, Value: raw.Bytes()}}}}, nil
 			}
-			return agentapi.FeedResponse{Incarnation: "two", Seq: 1, WantConfig: true, Entries: []gossip.Entry{{Key: agentapi.ConfigurationKey, Version: 4 << 16, Value: raw.Bytes()}}}, nil
+			return agentapi.FeedUpdate{FeedResponse: agentapi.FeedResponse{Incarnation: "two", Seq: 1, WantConfig: true, Entries: []gossip.Entry{{Key: agentapi.ConfigurationKey, Version: 4 << 16, Value: raw.Bytes()}}}}, nil
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -376,3 +376,44 @@
 		So(returned.Entries[0].Version, ShouldEqual, uint64(5<<16))
 	})
 }
+
+// Guards against a proxy that goes on using servers which left while its agent was down: it must drop what a
+// restarted agent does not have, once that agent has everything, and not before.
+func TestProxyDropsServersThatLeft(t *testing.T) {
+	Convey("A proxy whose agent is restarted", t, func() {
+		f := newFleet(t)
+		serverEntry := func(id string) gossip.Entry {
+			return gossip.Entry{Key: registry.Prefix + id, Version: 4, Value: []byte(`{"s":"s","a":"127.0.0.1:9","z":"z1","c":3,"t":0,"b":"x"}`)}
+		}
+		restarted, synced := make(chan struct{}), make(chan struct{})
+		mux := http.NewServeMux()
+		agentapi.FeedCall.Handle(mux, func(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedUpdate, error) {
+			update := agentapi.FeedUpdate{FeedResponse: agentapi.FeedResponse{Incarnation: "two", Seq: 1, Entries: []gossip.Entry{serverEntry("i-stays")}}}
+			switch request.Incarnation {
+			case "":
+				update.Incarnation, update.Entries = "one", append(update.Entries, serverEntry("i-leaves"))
+			case "one":
+				<-restarted
+			case "two":
+				select {
+				case <-synced:
+					update.Synced = true
+				case <-ctx.Done():
+				}
+			}
+			return update, nil
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		listener, err := net.Listen("tcp4", f.settings(11, true).AgentAddr())
+		So(err, ShouldBeNil)
+		go rpc.Serve(ctx, listener, mux, time.Minute)
+		f.start(admin.Proxy, 11, true, proxy.Run)
+		waitFor("the proxy knows the servers", func() bool { return f.shows(admin.Proxy, 11, "i-leaves") && f.shows(admin.Proxy, 11, "i-stays") })
+		close(restarted)
+		So(f.shows(admin.Proxy, 11, "i-leaves"), ShouldBeTrue)
+		close(synced)
+		waitFor("the proxy has dropped the server that left", func() bool { return !strings.Contains(f.showRow(admin.Proxy, 11, "i-leaves"), "available") })
+		So(f.shows(admin.Proxy, 11, "i-stays"), ShouldBeTrue)
+	})
+}
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -34,16 +34,10 @@
 )
 
 var (
-	exchangeCall = rpc.Declare[PassRequest, gossip.ExchangeResponse]("POST", "/Rumour.Pass", agentapi.MaxCallBytes, "agents and control-plane processes").WithCompression()
+	exchangeCall = rpc.Declare[gossip.PassRequest, gossip.PassResponse]("POST", "/Rumour.Pass", agentapi.MaxCallBytes, "agents and control-plane processes").WithCompression()
 	probeCall    = rpc.Declare[ProbeRequest, ProbeResponse]("POST", "/Ring.After", 4<<10, "agents and control-plane processes")
 )
 
-// PassRequest is the request of a gossip call. Processes of releases without AllZones ignore that field.
-type PassRequest struct {
-	gossip.ExchangeRequest
-	AllZones bool `json:"z,omitempty"` // the receiver forwards the entries to all zones, as it does with its own
-}
-
 // ProbeRequest asks a process whether Target, which may be the process itself, is alive.
 type ProbeRequest struct {
 	Target string `json:"a"`
@@ -72,7 +66,7 @@
 	ctx     context.Context // context of outgoing calls; replaced when Run ends
 	Members *member.Machine
 	Store   *gossip.Store // the store of Members
-	Changed chan struct{} // closed and replaced at each change of the store
+	Changed chan struct{} // closed and replaced at each change of the store, and when it becomes complete
 	wake    chan struct{} // signals Run to step the machine
 }
 
@@ -96,14 +90,22 @@
 	if n.OnUpdate != nil {
 		n.OnUpdate(entry)
 	}
-	close(n.Changed)
-	n.Changed = make(chan struct{})
+	n.notifyChanged()
 	select {
 	case n.wake <- struct{}{}:
 	default:
 	}
 }
 
+// notifyChanged wakes the waiters of Changed. Mu must be locked.
+func (n *Node) notifyChanged() {
+	close(n.Changed)
+	n.Changed = make(chan struct{})
+}
+
+// IsSynced reports whether the store is complete (gossip.Gossiper.IsSynced). Mu must be locked.
+func (n *Node) IsSynced() bool { return n.Members.IsSynced(n.Now()) }
+
 // PutLocked stores and gossips an entry of this process or of its proxy. Mu must be locked.
 func (n *Node) PutLocked(entry gossip.Entry) { n.Members.Put(n.Now(), entry) }
 
@@ -118,15 +120,10 @@
 
 // Serve registers the handlers of the calls of other processes.
 func (n *Node) Serve(mux *http.ServeMux) {
-	exchangeCall.Handle(mux, func(_ context.Context, _ rpc.RequestInfo, request PassRequest) (gossip.ExchangeResponse, error) {
+	exchangeCall.Handle(mux, func(_ context.Context, _ rpc.RequestInfo, request gossip.PassRequest) (gossip.PassResponse, error) {
 		n.Mu.Lock()
 		defer n.Mu.Unlock()
-		if request.AllZones {
-			for _, entry := range request.Entries {
-				n.PutLocked(entry)
-			}
-		}
-		return n.Members.HandleExchange(n.Now(), request.ExchangeRequest), nil
+		return n.Members.HandleExchange(n.Now(), request), nil
 	})
 	probeCall.Handle(mux, func(ctx context.Context, _ rpc.RequestInfo, request ProbeRequest) (ProbeResponse, error) {
 		n.Mu.Lock()
@@ -254,10 +251,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	ans, err := exchangeCall.Invoke(ctx, n.Client, call.To, "", PassRequest{ExchangeRequest: call.Request})
+	ans, err := exchangeCall.Invoke(ctx, n.Client, call.To, "", gossip.PassRequest{ExchangeRequest: call.Request})
 	n.Mu.Lock()
 	defer n.Mu.Unlock()
+	wasSynced := n.IsSynced()
 	n.Members.HandleExchangeResult(n.Now(), call, ans, err == nil)
+	if !wasSynced && n.IsSynced() {
+		n.notifyChanged()
+	}
 	n.processOutputLocked()
 }
 
@@ -267,7 +268,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	exchange := gossip.ExchangeRequest{From: n.Self.Addr, Entries: []gossip.Entry{entry}, Want: []string{entry.Key}}
-	response, err := exchangeCall.Invoke(ctx, n.Client, addr, "", PassRequest{ExchangeRequest: exchange, AllZones: true})
+	response, err := exchangeCall.Invoke(ctx, n.Client, addr, "", gossip.PassRequest{ExchangeRequest: exchange, AllZones: true})
 	return err == nil && slices.ContainsFunc(response.Entries, func(stored gossip.Entry) bool {
 		return stored.Key == entry.Key && stored.Version >= entry.Version
 	})
--- a/internal/node/proxy/proxy.go
+++ b/internal/node/proxy/proxy.go
@@ -39,7 +39,7 @@
 	sendBufferBytes     = 64 << 10              // send buffer in the kernel for responses that a client has not read
 	feedRetryInterval   = 60 * time.Millisecond // after a failed call of the feed
 	countersInterval    = 30 * time.Second      // between two log lines of the counters
-	confirmTimeout      = 60 * time.Second      // by then an agent that was restarted has learned all entries by gossip
+	confirmTimeout      = 60 * time.Second      // by then a restarted agent has learned all entries, even if it has not reported that its store is complete
 	budgetInterval      = 5 * time.Second       // the retry budget is also updated this often without a change, so that a withheld share is granted by then
 	resolutionMicros    = 1000                  // microseconds between two batches of decisions
 	maxAttempts         = 8
@@ -207,7 +207,7 @@
 			return err
 		case <-budget.C:
 			p.mu.Lock()
-			p.dropUnconfirmed()
+			p.purge()
 			p.updateBudget()
 			p.mu.Unlock()
 		case <-counters.C:
@@ -240,7 +240,7 @@
 			unreachable = false
 			events.AgentReachable.Log()
 		}
-		p.applyFeed(response.Entries, response.Incarnation != request.Incarnation)
+		p.applyFeed(response, response.Incarnation != request.Incarnation)
 		request = agentapi.FeedRequest{Incarnation: response.Incarnation, Since: response.Seq}
 		if response.WantConfig {
 			request.Entries = p.store.GetAll([]string{agentapi.ConfigurationKey})
@@ -249,26 +249,37 @@
 }
 
 // applyFeed applies the entries of a response of the feed. If agentRestarted is true the response is the
-// first of a new incarnation of the agent and contains all entries that this incarnation has.
-func (p *proxy) applyFeed(entries []gossip.Entry, agentRestarted bool) {
+// first of a new incarnation of the agent and contains all entries that this incarnation has. Once the
+// agent's store is complete, the entries that this incarnation has not sent are deleted.
+func (p *proxy) applyFeed(update agentapi.FeedUpdate, agentRestarted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if agentRestarted {
 		p.unconfirmed, p.confirmBy = make(map[string]bool), time.Now().Add(confirmTimeout)
 		p.store.Range(func(entry gossip.Entry, _ int64) { p.unconfirmed[entry.Key] = entry.Key != agentapi.ConfigurationKey })
 	}
-	for _, entry := range entries {
+	for _, entry := range update.Entries {
 		delete(p.unconfirmed, entry.Key)
 	}
-	p.applyEntries(entries)
+	p.applyEntries(update.Entries)
+	if update.Synced {
+		p.dropUnconfirmed()
+	}
+}
+
+// purge deletes old tombstones, and the entries that a restarted agent has not sent by confirmBy. The caller
+// must hold mu.
+func (p *proxy) purge() {
+	p.store.PurgeTombstones(time.Since(p.startedAt).Microseconds())
+	if !time.Now().Before(p.confirmBy) {
+		p.dropUnconfirmed()
+	}
 }
 
-// dropUnconfirmed deletes the entries that a restarted agent has not sent by confirmBy: their deletion may
-// have been gossiped while there was no agent. The caller must hold mu.
+// dropUnconfirmed deletes the entries that a restarted agent has not sent: they were deleted while there was
+// no agent. The caller must hold mu.
 func (p *proxy) dropUnconfirmed() {
-	now := time.Since(p.startedAt).Microseconds()
-	p.store.PurgeTombstones(now)
-	if len(p.unconfirmed) == 0 || time.Now().Before(p.confirmBy) {
+	if len(p.unconfirmed) == 0 {
 		return
 	}
 	var deletions []gossip.Entry
