--- a/internal/node/proxy/proxy.go
+++ b/internal/node/proxy/proxy.go
@@ -35,6 +35,7 @@
 const (
 	reservedDescriptors = 232 // file descriptors that are not used for connections
 	upstreamDivisor     = 4   // 1/upstreamDivisor of the other descriptors is for connections to servers
+	drainGraceDivisor   = 4   // a draining server gets no request after 1/drainGraceDivisor of the time it serves on; the rest is for the update to arrive
 	maxRequests         = 20_000
 	sendBufferBytes     = 64 << 10              // send buffer in the kernel for responses that a client has not read
 	feedRetryInterval   = 60 * time.Millisecond // after a failed call of the feed
@@ -86,7 +87,7 @@
 	return settings.Settings{MaxInFlight: maxRequests, Router: choice.Settings{
 		ClassesLater: true, Cells: httpserver.MaxShards, Width: 1, MaxPartsPerCall: 1, Resolution: resolutionMicros, Cancel: true,
 		ParallelAttempts: true, RetryAdvice: true, MaxRetryAfter: time.Second.Microseconds(), AttemptCap: maxAttempts,
-		Keepalive: (30 * time.Second).Microseconds(), DrainGrace: bounds.Drain.Microseconds() / 4,
+		Keepalive: (30 * time.Second).Microseconds(), DrainGrace: bounds.Drain.Microseconds() / drainGraceDivisor,
 		Routers: minProxies, RetryBudget: true, RetryBudgetPerShard: true, RetryBudgetRatio: bounds.RetryRatio,
 		RetryBudgetMin: 0, RetryBudgetWindow: bounds.RetryWindow.Microseconds(), OverdueMultiple: overdueMultiple, OverdueMaxShare: overdueMaxShare,
 	}}
@@ -101,7 +102,7 @@
 	}
 	maxUpstream := (nodeSettings.MaxOpenFiles - reservedDescriptors) / upstreamDivisor
 	p := &proxy{settings: nodeSettings, exchange: engine, client: rpc.NewClient(time.Second), store: gossip.NewStore(), startedAt: time.Now(),
-		routes: &httpserver.Handler{Exchange: engine}, upstream: httpclient.New(httpclient.Config{Exchange: engine, MaxConns: maxUpstream}),
+		routes: &httpserver.Handler{Exchange: engine}, upstream: httpclient.New(httpclient.Config{Exchange: engine, MaxConns: maxUpstream, DrainGrace: nodeSettings.Bounds.Drain / drainGraceDivisor}),
 		maxConnections: make(map[string]int), maxClients: nodeSettings.MaxOpenFiles - reservedDescriptors - maxUpstream,
 		maxUpstream: maxUpstream}
 	p.retryBudget = quota.NewRetryBudget(0, quota.Config{Total: nodeSettings.Bounds.RetrySlack, Window: nodeSettings.Bounds.RetryWindow.Microseconds(),
@@ -378,7 +379,7 @@
 	if limit := p.maxConnections[registered.Service]; limit > 0 {
 		maxConns = max(limit/max(p.proxyCount, minProxies), 2)
 	}
-	return server, httpclient.Server{ID: registered.ID, Addr: registered.Addr, MaxConns: maxConns}, true
+	return server, httpclient.Server{ID: registered.ID, Addr: registered.Addr, MaxConns: maxConns, Draining: registered.State == registry.Draining}, true
 }
 
 // distance returns the distance from this proxy's zone to another one, see nodesettings.Distance.
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -132,6 +132,7 @@
 		c.server.waiting = slices.Delete(waiting, i, i+1)
 		c.send(k, c.idleSince)
 	}
+	c.pool.openConn(c.server) // for the calls that may not use this connection
 }
 
 // ---- The read goroutine of a connection.
--- a/internal/upstream/httpclient/httpclient.go
+++ b/internal/upstream/httpclient/httpclient.go
@@ -37,9 +37,10 @@
 
 // Config configures a Pool.
 type Config struct {
-	Exchange  *exchange.Exchange
-	MaxConns  int // open connections to all servers together
-	Mutations Mutations
+	Exchange   *exchange.Exchange
+	MaxConns   int           // open connections to all servers together
+	DrainGrace time.Duration // how long after UpdateServers reported a server as draining a request may still be sent to it
+	Mutations  Mutations
 }
 
 // Mutations disables rules of this package on purpose, so that a checker can prove that it
@@ -54,6 +55,7 @@
 type Server struct {
 	ID, Addr string
 	Gone     bool // the server has been removed: it gets no further request
+	Draining bool // the server is about to end: it gets no further request after Config.DrainGrace
 	MaxConns int  // this proxy's share of the connections that the server accepts; 0: unknown
 }
 
@@ -77,6 +79,37 @@
 	dialing       int       // connections being dialed
 	dialFailures  int       // failed dials in a row
 	dialNotBefore time.Time // without a connection, no dial starts before this time
+	drainedAt     time.Time // from this time on no request is sent; zero: the server is not draining
+}
+
+// drained reports whether the server gets no further request.
+func (s *server) drained() bool {
+	return s.Gone || !s.drainedAt.IsZero() && !time.Now().Before(s.drainedAt)
+}
+
+// longestIdle returns the connection that has been idle longest; nil: none is idle.
+func (s *server) longestIdle() *conn {
+	for _, c := range s.conns {
+		if !c.busy {
+			return c
+		}
+	}
+	return nil
+}
+
+// idleConnFor returns the connection that became idle last and may carry a call, or nil. It also returns
+// idle connections that are to be closed because the server may close them.
+func (s *server) idleConnFor(k *call, now time.Time) (usable *conn, expired []*conn) {
+	for _, c := range slices.Backward(s.conns) {
+		switch {
+		case c.busy || c.draining:
+		case !c.keepAliveUntil.IsZero() && now.After(c.keepAliveUntil):
+			expired = append(expired, c)
+		case k.mayUse(c, now):
+			return c, expired
+		}
+	}
+	return nil, expired
 }
 
 // call is an attempt, with the connection that carries it.
@@ -142,16 +175,38 @@
 					c.closeWith(choice.ConnectionLost)
 				}
 			}
-			p.failUnconnected(s)
+			p.failWaiting(s, choice.NoConnection)
 			p.forget(s)
 		case s == nil:
-			p.servers[t.ID] = &server{Server: t}
+			s = &server{Server: t}
+			p.servers[t.ID] = s
+			p.updateDrain(s)
 		default:
 			s.Server = t
+			p.updateDrain(s)
+			p.openConn(s) // MaxConns may have grown
 		}
 	}
 }
 
+// updateDrain sets drainedAt after an update of a server. The calls that wait for a connection then end:
+// none may be sent later, whenever a connection becomes idle.
+func (p *Pool) updateDrain(s *server) {
+	switch {
+	case !s.Draining:
+		s.drainedAt = time.Time{}
+	case s.drainedAt.IsZero():
+		s.drainedAt = time.Now().Add(p.DrainGrace)
+		time.AfterFunc(p.DrainGrace, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if s.drained() {
+				p.failWaiting(s, choice.NotSent)
+			}
+		})
+	}
+}
+
 // forget removes a server that is gone once it has no connection.
 func (p *Pool) forget(s *server) {
 	if s.Gone && len(s.conns) == 0 && s.dialing == 0 && p.servers[s.ID] == s {
@@ -238,44 +293,41 @@
 // call, assign puts it in the waiting queue of the server and opens a connection.
 func (p *Pool) assign(k *call) {
 	s := k.server
-	if s == nil || s.Gone {
+	if s == nil || s.drained() {
 		p.finish(k, choice.NotSent, nil, "")
 		return
 	}
 	now := time.Now()
-	for i := len(s.conns) - 1; i >= 0; i-- {
-		c := s.conns[i]
-		if c.busy || c.draining {
-			continue
-		}
-		if !c.keepAliveUntil.IsZero() && now.After(c.keepAliveUntil) {
-			c.closeWith(choice.ConnectionLost)
-			continue
-		}
-		if !k.mayUse(c, now) {
-			continue
-		}
+	c, expired := s.idleConnFor(k, now)
+	if c != nil {
 		c.send(k, now)
-		return
+	} else {
+		s.waiting = append(s.waiting, k)
+	}
+	for _, c := range expired {
+		c.closeWith(choice.ConnectionLost)
 	}
-	s.waiting = append(s.waiting, k)
 	p.openConn(s)
 }
 
-// openConn dials a connection for the waiting calls, unless one is being dialed for each of them
-// or the server has MaxConns connections. If the server has no connection, and its last dial
-// failed recently or the pool has no free connection, the waiting calls fail at once.
+// openConn dials a connection for the waiting calls, unless one is being dialed for each of them. If the
+// server or the pool has as many connections as it may have, openConn closes the connection to the server
+// that has been idle longest: the waiting calls can't use it, and would wait until it is closed. If the
+// server has no connection, and its last dial failed recently or the pool has no free connection, the
+// waiting calls fail at once.
 func (p *Pool) openConn(s *server) {
-	if s.dialing >= len(s.waiting) || s.MaxConns > 0 && len(s.conns)+s.dialing >= s.MaxConns {
+	if s.dialing >= len(s.waiting) {
 		return
 	}
 	if len(s.conns) == 0 && time.Now().Before(s.dialNotBefore) {
-		p.failUnconnected(s)
+		p.failWaiting(s, choice.NoConnection)
 		return
 	}
-	if p.conns >= p.MaxConns {
-		if len(s.conns) == 0 {
-			p.failUnconnected(s)
+	if p.conns >= p.MaxConns || s.MaxConns > 0 && len(s.conns)+s.dialing >= s.MaxConns {
+		if c := s.longestIdle(); c != nil {
+			c.closeWith(choice.ConnectionLost) // and calls openConn again
+		} else if len(s.conns)+s.dialing == 0 {
+			p.failWaiting(s, choice.NoConnection)
 		}
 		return
 	}
@@ -304,7 +356,7 @@
 			}
 			s.dialNotBefore = time.Now().Add(min(backoff, maxDialBackoff))
 		}
-		p.failUnconnected(s)
+		p.failWaiting(s, choice.NoConnection)
 		p.forget(s)
 		return
 	}
@@ -326,12 +378,12 @@
 	}
 }
 
-// failUnconnected ends the calls that wait for a connection to s. They have not run.
-func (p *Pool) failUnconnected(s *server) {
+// failWaiting ends the calls that wait for a connection to s. They have not run.
+func (p *Pool) failWaiting(s *server, v choice.Verdict) {
 	failed := s.waiting
 	s.waiting = nil
 	for _, k := range failed {
-		p.finish(k, choice.NoConnection, nil, "")
+		p.finish(k, v, nil, "")
 	}
 }
 
