--- a/internal/node/controlplane/acknowledge.go
+++ b/internal/node/controlplane/acknowledge.go
@@ -11,6 +11,7 @@
 	"saddleport/internal/cluster/gossip"
 	"saddleport/internal/cluster/registry"
 	"saddleport/internal/cluster/views"
+	"saddleport/internal/node/events"
 )
 
 // replicationTimeout bounds the wait for the other machines: servers wait one second for a response.
@@ -38,6 +39,7 @@
 		return retryLater(errNotReplicated) // the store is full
 	}
 	if err := s.replicate(ctx, entry); err != nil {
+		events.DepartureUnknown.Log("server", id, "err", err)
 		return retryLater(err)
 	}
 	s.Mu.Lock()
--- a/internal/node/events/catalogue.go
+++ b/internal/node/events/catalogue.go
@@ -55,5 +55,6 @@
 	ConfigConflict     = register(416, "configuration-conflict", log.WarnLevel, "an operator sent different content under a revision that was accepted before; it is not in force", "send it under a higher revision")
 	QuorumLost         = register(417, "quorum-lost", log.WarnLevel, "no majority of the control plane has responded here for a while: until one does, this machine returns no configuration, accepts none and does not acknowledge the leave of a server; callers are redirected", "check the network to the other control-plane machines")
 	QuorumRegained     = register(418, "quorum-regained", log.InfoLevel, "a majority of the control plane responds here again", "")
+	DepartureUnknown   = register(419, "departure-not-replicated", log.WarnLevel, "a server leaves, but too few control-plane machines confirmed in time that they store this; the server gets 503 and calls again", "check the network to the other control-plane machines")
 	DiskDamaged        = register(411, "disk-damaged", log.ErrorLevel, "the state on this disk cannot be read and is not trusted", "replace the machine or empty its data directory")
 )
