controlplane: departures are replicated in batches, to the nearest majority

Change: departures that wait while a batch is on its way go out together; as many voters are called as are needed, the nearest first, the others after 200 ms or a failure; a deregistration after a replicated draining is not sent again; only a deregistration without draining is forwarded to all zones by the receivers. TestDepartureIsReplicated passes.

--- a/internal/cluster/registry/registry.go
+++ b/internal/cluster/registry/registry.go
@@ -110,7 +110,7 @@
 	server      Server
 	sequence    int64  // of the last heartbeat
 	lastHeardAt int64  // microseconds of the caller's clock
-	replicated  uint64 // version of its entry that a majority of the control plane stores; 0: none is known to be
+	replicated  uint64 // version of its entry as draining that a majority of the control plane stores; 0: none is known to be
 }
 
 // Registry tracks the servers whose heartbeats one control-plane machine receives. It is not safe for
@@ -200,7 +200,7 @@
 // Tracks reports whether a server sends its heartbeats to this machine or was adopted by it.
 func (r *Registry) Tracks(id string) bool { return r.tracked[id] != nil }
 
-// MarkReplicated records that a majority of the control plane stores a version of a server's entry. It has
+// MarkReplicated records that a majority of the control plane stores a version of a draining server's entry. It has
 // no effect for a server that is not tracked.
 func (r *Registry) MarkReplicated(id string, version uint64) {
 	if tracked := r.tracked[id]; tracked != nil {
--- a/internal/node/controlplane/server.go
+++ b/internal/node/controlplane/server.go
@@ -63,6 +63,7 @@
 	persistedCount int                // number of servers in persistedJSON
 
 	replica        *replicaRunner
+	departures     departureQueue
 	validating     sync.Mutex // serializes parsing: a parsed configuration takes many times its encoded size
 	reachablePeers peerCache
 }
@@ -223,7 +224,7 @@
 func (s *controlPlane) handleHeartbeat(ctx context.Context, caller rpc.RequestInfo, heartbeat registry.Heartbeat) (HeartbeatResponse, error) {
 	response, err := s.recordHeartbeat(caller, heartbeat)
 	if err == nil && heartbeat.State == registry.LifecycleDraining {
-		err = s.acknowledgeDeparture(ctx, caller.Name)
+		err = s.acknowledgeDraining(ctx, caller.Name)
 	}
 	return response, err
 }
@@ -234,9 +235,11 @@
 func (s *controlPlane) handleDeregister(ctx context.Context, caller rpc.RequestInfo, _ rpc.Raw) (rpc.Empty, error) {
 	events.ServerDeregistered.Log("server", caller.Name)
 	s.Mu.Lock()
+	stored, _ := s.Store.Get(registry.Prefix + caller.Name)
+	wasDraining := s.registry.IsReplicated(caller.Name, stored.Version) // only draining entries are
 	s.PutLocked(s.registry.HandleDeregister(caller.Name))
 	s.Mu.Unlock()
-	return rpc.Empty{}, s.acknowledgeDeparture(ctx, caller.Name)
+	return rpc.Empty{}, s.acknowledgeDeregistration(ctx, caller.Name, wasDraining)
 }
 
 // recordHeartbeat passes a heartbeat to the registry and gossips the change, if there is one.
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -262,16 +261,17 @@
 	n.processOutputLocked()
 }
 
-// StoreAt stores an entry at another process, which forwards it to all zones. It reports whether that
-// process has confirmed within timeout that it stores the entry or a newer version of it.
-func (n *Node) StoreAt(ctx context.Context, timeout time.Duration, addr string, entry gossip.Entry) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// StoreAt stores entries at another process, which forwards them within its zone, or to all zones. It reports
+// whether that process has confirmed within timeout that it stores them or newer versions of them.
+func (n *Node) StoreAt(timeout time.Duration, addr string, entries []gossip.Entry, allZones bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	exchange := gossip.ExchangeRequest{From: n.Self.Addr, Entries: []gossip.Entry{entry}, Want: []string{entry.Key}}
-	response, err := exchangeCall.Invoke(ctx, n.Client, addr, "", gossip.PassRequest{ExchangeRequest: exchange, AllZones: true})
-	return err == nil && slices.ContainsFunc(response.Entries, func(stored gossip.Entry) bool {
-		return stored.Key == entry.Key && stored.Version >= entry.Version
-	})
+	exchange := gossip.ExchangeRequest{From: n.Self.Addr, Entries: entries}
+	for _, entry := range entries {
+		exchange.Versions = append(exchange.Versions, gossip.EntryVersion{Key: entry.Key, Version: entry.Version})
+	}
+	response, err := exchangeCall.Invoke(ctx, n.Client, addr, "", gossip.PassRequest{ExchangeRequest: exchange, AllZones: allZones})
+	return err == nil && len(response.Want) == 0 // otherwise it lacks an entry: its store is full
 }
 
 // leave announces that this process ends and waits for its calls in flight.
