--- a/internal/cluster/gossip/sync_test.go
+++ b/internal/cluster/gossip/sync_test.go
@@ -51,7 +51,7 @@
 			So(known && got.Deleted(), ShouldBeTrue)
 			So(started.mustJoin(), ShouldBeFalse)
 		})
-		Convey("asks again if its first calls fail, also when others have told it of processes", func() {
+		Convey("asks again if its first calls fail, also when others have already sent it processes", func() {
 			for _, call := range started.TakeCalls() {
 				started.HandleResponse(2, call.ID, PassResponse{}, false)
 			}
--- a/internal/upstream/httpclient/httpclient.go
+++ b/internal/upstream/httpclient/httpclient.go
@@ -124,7 +124,7 @@
 
 // mayUse reports whether an idle connection may carry the call. A connection that has carried an earlier
 // attempt of the same part may not: answers carry the id of the query, so a second copy of the answer to
-// that attempt could not be told from the answer to this one.
+// that attempt could not be distinguished from the answer to this one.
 func (k *call) mayUse(c *conn, now time.Time) bool {
 	if k.attempt.NonIdempotent() && now.Sub(c.idleSince) > nonIdempotentMaxIdle {
 		return false
