--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -140,61 +140,23 @@
 // readLoop handles incoming answers until the connection is closed.
 func (c *conn) readLoop() {
 	for strayAnswers := 0; ; {
-		err := c.reader.Await()
-		c.pool.mu.Lock()
-		method, busy := c.method, c.busy
-		if err == nil && !busy { // no answer is pending
-			c.pool.Exchange.Counters.MalformedAnswers.Add(1)
-			err = errors.New("bytes arrived while no answer was pending")
-		}
-		if err != nil {
-			c.closeWith(choice.ConnectionLost)
-			c.pool.mu.Unlock()
+		method, open := c.awaitAnswer()
+		if !open {
 			return
 		}
-		c.pool.mu.Unlock()
 		response, err := c.reader.ResponseTo(method)
 		c.pool.mu.Lock()
-		if c.closed {
-			c.pool.mu.Unlock()
-			return
-		}
-		if err == nil && strayAnswers < maxStrayAnswers {
-			if id := response.Header.Get(headerAttemptID); id != "" && id != c.id && !c.pool.Mutations.AnyID {
-				// This is a second answer to an earlier request, for which no call waits any more.
-				// The answer to the pending request may still follow.
-				strayAnswers++
-				c.draining = true
-				c.pool.Exchange.Counters.LateAnswers.Add(1)
-				c.pool.mu.Unlock()
-				continue
-			}
-		}
-		// An answer may arrive before the request is completely written. The connection must not
-		// be reused then: the server would read the next request as the rest of the body.
-		keep := err == nil && response.KeepAlive && c.reader.Buffered() == 0 && (!c.writing || c.pool.Mutations.ReuseEarly)
-		v, value := choice.ServerError, ""
-		var load []choice.Reading
 		switch {
-		case err != nil:
-			var malformed *httpwire.Error
-			if v = choice.ConnectionLost; errors.As(err, &malformed) {
-				v = choice.ServerError
-				c.pool.Exchange.Counters.MalformedAnswers.Add(1)
-			}
+		case c.closed:
+		case err == nil && strayAnswers < maxStrayAnswers && c.isStray(response):
+			// This is a second answer to an earlier request, for which no call waits any more.
+			// The answer to the pending request may still follow.
+			strayAnswers++
+			c.draining = true
+			c.pool.Exchange.Counters.LateAnswers.Add(1)
 		default:
-			c.keepAliveUntil = keepAliveEnd(response, time.Now())
-			id := c.id
-			if c.pool.Mutations.AnyID {
-				id = response.Header.Get(headerAttemptID)
-			}
-			v, value = evaluate(response, id, c.fanOut)
-			load = parseLoad(response.Header.Get(headerLoad))
+			c.handleAnswer(response, err)
 		}
-		if c.call != nil {
-			c.pool.finish(c.call, v, load, value)
-		}
-		c.release(keep)
 		closed := c.closed
 		c.pool.mu.Unlock()
 		if closed {
@@ -203,6 +165,57 @@
 	}
 }
 
+// awaitAnswer waits for the first byte of an answer and returns the method of the request in flight. It
+// closes the connection, and open is false, if there is none or the connection fails.
+func (c *conn) awaitAnswer() (method string, open bool) {
+	err := c.reader.Await()
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if err == nil && c.busy {
+		return c.method, true
+	}
+	if err == nil { // bytes arrived while no answer was pending
+		c.pool.Exchange.Counters.MalformedAnswers.Add(1)
+	}
+	c.closeWith(choice.ConnectionLost)
+	return "", false
+}
+
+// isStray reports whether an answer has the id of another request than the one in flight.
+func (c *conn) isStray(response *httpwire.Response) bool {
+	id := response.Header.Get(headerAttemptID)
+	return id != "" && id != c.id && !c.pool.Mutations.AnyID
+}
+
+// handleAnswer ends the call in flight with an answer, or with the error of reading it, and releases the
+// connection.
+func (c *conn) handleAnswer(response *httpwire.Response, err error) {
+	// An answer may arrive before the request is completely written. The connection must not
+	// be reused then: the server would read the next request as the rest of the body.
+	keep := err == nil && response.KeepAlive && c.reader.Buffered() == 0 && (!c.writing || c.pool.Mutations.ReuseEarly)
+	verdict, value := choice.ServerError, ""
+	var load []choice.Reading
+	var malformed *httpwire.Error
+	switch {
+	case errors.As(err, &malformed):
+		c.pool.Exchange.Counters.MalformedAnswers.Add(1)
+	case err != nil:
+		verdict = choice.ConnectionLost
+	default:
+		c.keepAliveUntil = keepAliveEnd(response, time.Now())
+		id := c.id
+		if c.pool.Mutations.AnyID {
+			id = response.Header.Get(headerAttemptID)
+		}
+		verdict, value = evaluate(response, id, c.fanOut)
+		load = parseLoad(response.Header.Get(headerLoad))
+	}
+	if c.call != nil {
+		c.pool.finish(c.call, verdict, load, value)
+	}
+	c.release(keep)
+}
+
 // keepAliveEnd returns the time until which the connection may be used according to the Keep-Alive
 // header of an answer, less keepAliveMargin. It returns the zero time if the header gives no
 // timeout.
