--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -348,9 +348,15 @@
 	io.Copy(io.Discard, io.LimitReader(c.nc, 4*httpwire.MaxBody))
 }
 
-// WriteText answers with a plain text and reports whether the connection stays open.
+// WriteText answers the request that was read last with a plain text, and reports whether the connection
+// stays open. The text is left out if the response may not have a body: a client would read it as the
+// beginning of the next response.
 func (c *Conn) WriteText(status int, text string, keep bool, fields ...httpwire.Field) bool {
-	return c.WriteBytes(httpwire.AppendResponse(nil, status, "text/plain; charset=utf-8", []byte(text), keep, fields...)) && keep
+	response := httpwire.AppendResponse(nil, status, "text/plain; charset=utf-8", []byte(text), keep, fields...)
+	if !httpwire.AllowsBody(c.reader.Method(), status) {
+		response = response[:len(response)-len(text)]
+	}
+	return c.WriteBytes(response) && keep
 }
 
 // WriteBytes writes b within the write timeout and reports whether that succeeded. With a slow
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -61,6 +61,7 @@
 	buf              *bufio.Reader
 	text             *textproto.Reader
 	maxHead, maxBody int
+	method           string // of the request that was read last
 
 	// OnHead, if not nil, is called when the head of a request has been read and a body follows.
 	OnHead func()
@@ -107,6 +108,7 @@
 // Request reads a request. cont, if not nil, is called before the body is read if the
 // client has sent "Expect: 100-continue" and waits for the server to continue.
 func (r *Reader) Request(cont func() error) (*Request, error) {
+	r.method = ""
 	line, err := r.start()
 	if err != nil {
 		return nil, err
@@ -115,6 +117,7 @@
 		return nil, &Error{413, "head too large"}
 	}
 	method, rest, okMethod := strings.Cut(line, " ")
+	r.method = method
 	target, proto, okTarget := strings.Cut(rest, " ")
 	if after, absolute := strings.CutPrefix(target, "http://"); absolute { // absolute form, as sent to proxies
 		_, path, _ := strings.Cut(after, "/")
@@ -154,6 +157,16 @@
 	return req, err
 }
 
+// Method returns the method of the request that Request has read last, also if the rest of it could not be
+// read; empty: no request line has arrived.
+func (r *Reader) Method() string { return r.method }
+
+// AllowsBody reports whether a response with a status to a request with a method may have a body (RFC 9110,
+// 6.4.1).
+func AllowsBody(method string, status int) bool {
+	return method != "HEAD" && status != 204 && status != 304
+}
+
 // Response is the head and the body of a response.
 type Response struct {
 	Status    int
@@ -187,7 +200,7 @@
 		return nil, err
 	}
 	switch {
-	case status == 204 || status == 304 || method == "HEAD":
+	case !AllowsBody(method, status):
 	case length < 0 && !chunked: // the body extends to the end of the connection
 		resp.KeepAlive = false
 		r.limit.remaining = r.maxBody + 1
