--- a/internal/cluster/routeconfig/routeconfig.go
+++ b/internal/cluster/routeconfig/routeconfig.go
@@ -71,6 +71,10 @@
 // DefaultLimits are the limits that apply where a configuration sets none.
 var DefaultLimits = Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
+// MaxServices is the maximum number of services of a configuration. A proxy can hold more, so that it can also
+// hold servers of services that a later configuration names.
+const MaxServices = 4000
+
 const (
 	maxRoutes = 20_000
 	maxShards = 256
@@ -108,7 +112,11 @@
 	root.Object()
 	config := &Config{Raw: raw, Services: make(map[string]*Service), routesByHost: make(map[string]map[string]*Route), Limits: DefaultLimits}
 	config.Revision = revision(root.At("revision").Required())
-	for _, item := range root.At("services").Required().Items() {
+	services := root.At("services").Required().Items()
+	if len(services) > MaxServices {
+		root.At("services").Failf("%d services exceed the maximum of %d", len(services), MaxServices)
+	}
+	for _, item := range services {
 		service := &Service{Name: item.Object().At("name").Required().Text(), HealthCheckPath: item.At("health_check_path").Text(),
 			MaxConnections: int(item.At("max_connections").Int())}
 		if config.Services[service.Name] != nil {
--- a/internal/downstream/httpserver/plan.go
+++ b/internal/downstream/httpserver/plan.go
@@ -43,32 +43,6 @@
 	return len(t.cumulative) - 1
 }
 
-// ShardNumbers assigns a shard number to each service. A service keeps its number for the
-// lifetime of the process; there are at most MaxShards.
-type ShardNumbers struct {
-	numbers map[string]int
-}
-
-// MaxShards is the number of services that one process can number.
-const MaxShards = 4096
-
-// Of returns the number of a service and assigns one if the service has none. It returns an
-// error if MaxShards services have numbers already.
-func (s *ShardNumbers) Of(service string) (int, error) {
-	if s.numbers == nil {
-		s.numbers = make(map[string]int)
-	}
-	n, known := s.numbers[service]
-	if !known {
-		if len(s.numbers) >= MaxShards {
-			return 0, fmt.Errorf("more than %d services since the start of the process", MaxShards)
-		}
-		n = len(s.numbers)
-		s.numbers[service] = n
-	}
-	return n, nil
-}
-
 const milliseconds = 1000 // in choice.Micros
 
 const (
@@ -80,8 +54,8 @@
 	halfValuePriority     = 4                 // a class of this priority has half the value of one of priority 0
 )
 
-// NewPlan prepares a configuration and assigns numbers to its services. It returns an error if
-// numbers has none left for a service.
+// NewPlan prepares a configuration and assigns numbers to its services. It returns ErrNoShardNumber if
+// none is left for a service.
 func NewPlan(c *routeconfig.Config, numbers *ShardNumbers) (*Plan, error) {
 	p := &Plan{Config: c, targets: make(map[*routeconfig.Route]*routeTargets, len(c.Routes))}
 	classes := make(map[string]choice.Class)
@@ -89,7 +63,7 @@
 		targets := &routeTargets{}
 		if len(r.FanoutServices) > 0 {
 			for _, service := range r.FanoutServices {
-				n, err := numbers.Of(service)
+				n, err := numbers.forRoute(service, r.Timeout)
 				if err != nil {
 					return nil, err
 				}
@@ -106,7 +80,7 @@
 				if b.Weight <= 0 {
 					continue
 				}
-				n, err := numbers.Of(b.Service)
+				n, err := numbers.forRoute(b.Service, r.Timeout)
 				if err != nil {
 					return nil, err
 				}
--- a/internal/node/proxy/proxy.go
+++ b/internal/node/proxy/proxy.go
@@ -76,7 +76,8 @@
 	retrySlack     float64
 	outliers       *outlierTracker
 	quotas         *quotaClient
-	maxConnections map[string]int // limit for the connections to a server, by service
+	maxConnections map[string]int  // limit for the connections to a server, by service
+	unnumbered     map[string]bool // keys of entries that wait for a shard number (numbers.go)
 
 	unconfirmed map[string]bool // keys of entries; true: the restarted agent has not sent the entry yet
 	confirmBy   time.Time       // time from which unconfirmed entries are deleted
@@ -103,7 +104,7 @@
 	maxUpstream := (nodeSettings.MaxOpenFiles - reservedDescriptors) / upstreamDivisor
 	p := &proxy{settings: nodeSettings, exchange: engine, client: rpc.NewClient(time.Second), store: gossip.NewStore(), startedAt: time.Now(),
 		routes: &httpserver.Handler{Exchange: engine}, upstream: httpclient.New(httpclient.Config{Exchange: engine, MaxConns: maxUpstream, DrainGrace: nodeSettings.Bounds.Drain / drainGraceDivisor}),
-		maxConnections: make(map[string]int), maxClients: nodeSettings.MaxOpenFiles - reservedDescriptors - maxUpstream,
+		maxConnections: make(map[string]int), unnumbered: make(map[string]bool), maxClients: nodeSettings.MaxOpenFiles - reservedDescriptors - maxUpstream,
 		maxUpstream: maxUpstream}
 	p.retryBudget = quota.NewRetryBudget(0, quota.Config{Total: nodeSettings.Bounds.RetrySlack, Window: nodeSettings.Bounds.RetryWindow.Microseconds(),
 		MinProxies: minProxies, FirstStart: nodeSettings.Bootstrap})
@@ -209,6 +210,7 @@
 		case <-budget.C:
 			p.mu.Lock()
 			p.purge()
+			p.releaseNumbers(time.Now())
 			p.updateBudget()
 			p.mu.Unlock()
 		case <-counters.C:
@@ -299,13 +301,23 @@
 // applyEntries stores entries and applies those that are newer than the stored ones. The caller must hold
 // mu.
 func (p *proxy) applyEntries(entries []gossip.Entry) {
-	update := choice.List{Form: choice.Delta}
-	var upstreamServers []httpclient.Server
 	now := time.Since(p.startedAt).Microseconds()
+	var newer []gossip.Entry
 	for _, entry := range entries {
-		if !p.store.Put(now, entry, 1, false) {
-			continue
+		if p.store.Put(now, entry, 1, false) {
+			newer = append(newer, entry)
 		}
+	}
+	p.store.TakePending() // a proxy does not gossip
+	p.applyStored(newer)
+}
+
+// applyStored applies entries of the store. The caller must hold mu.
+func (p *proxy) applyStored(entries []gossip.Entry) {
+	update := choice.List{Form: choice.Delta}
+	var upstreamServers []httpclient.Server
+	for _, entry := range entries {
+		delete(p.unnumbered, entry.Key)
 		switch {
 		case entry.Key == agentapi.ConfigurationKey:
 			p.applyConfiguration(entry)
@@ -319,7 +331,6 @@
 			}
 		}
 	}
-	p.store.TakePending() // a proxy does not gossip
 	p.updateBudget()
 	if len(upstreamServers) > 0 {
 		events.ServersChanged.Log("servers", len(upstreamServers))
@@ -337,6 +348,7 @@
 		plan, err = httpserver.NewPlan(config, &p.shardNumbers)
 	}
 	if err != nil {
+		p.noteUnnumbered(entry.Key, err)
 		events.ConfigUnusable.Log("rank", entry.Version, "err", err)
 		return
 	}
@@ -364,6 +376,7 @@
 	}
 	cell, err := p.shardNumbers.Of(registered.Service)
 	if err != nil {
+		p.noteUnnumbered(entry.Key, err)
 		return server, httpclient.Server{}, false
 	}
 	server.Cell, server.Far = cell, p.distance(registered.Zone)
