--- a/internal/node/fleettest/fleet_test.go
+++ b/internal/node/fleettest/fleet_test.go
@@ -109,6 +109,17 @@
 	f.stop(name, machine)
 }
 
+// startStubAgent serves the feed of an agent with answer, until the end of the test.
+func (f *fleet) startStubAgent(machine int, answer func(context.Context, rpc.RequestInfo, agentapi.FeedRequest) (agentapi.FeedUpdate, error)) {
+	mux := http.NewServeMux()
+	agentapi.FeedCall.Handle(mux, answer)
+	listener, err := net.Listen("tcp4", f.settings(machine, true).AgentAddr())
+	So(err, ShouldBeNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	Reset(cancel)
+	go rpc.Serve(ctx, listener, mux, time.Minute)
+}
+
 // waitFor waits until a condition is true, and fails the test after 60 s.
 func waitFor(condition string, done func() bool) {
 	timeout := time.After(60 * time.Second)
@@ -352,8 +363,8 @@
 		f := newFleet(t)
 		var raw bytes.Buffer
 		So(json.Compact(&raw, []byte(configuration(5, "v5"))), ShouldBeNil)
-		mux, requests := http.NewServeMux(), make(chan agentapi.FeedRequest, 100)
-		agentapi.FeedCall.Handle(mux, func(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedUpdate, error) {
+		requests := make(chan agentapi.FeedRequest, 100)
+		f.startStubAgent(11, func(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedUpdate, error) {
 			requests <- request
 			switch {
 			case len(request.Entries) > 0:
@@ -363,11 +374,6 @@
 			}
 			return agentapi.FeedUpdate{FeedResponse: agentapi.FeedResponse{Incarnation: "two", Seq: 1, WantConfig: true, Entries: []gossip.Entry{{Key: agentapi.ConfigurationKey, Version: 4 << 16, Value: raw.Bytes()}}}}, nil
 		})
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		listener, err := net.Listen("tcp4", f.settings(11, true).AgentAddr())
-		So(err, ShouldBeNil)
-		go rpc.Serve(ctx, listener, mux, time.Minute)
 		f.start(admin.Proxy, 11, true, proxy.Run)
 		So((<-requests).Incarnation, ShouldEqual, "")
 		So((<-requests).ConfigVersion, ShouldEqual, uint64(5<<16)) // the proxy reports its version
@@ -386,8 +392,7 @@
 			return gossip.Entry{Key: registry.Prefix + id, Version: 4, Value: []byte(`{"s":"s","a":"127.0.0.1:9","z":"z1","c":3,"t":0,"b":"x"}`)}
 		}
 		restarted, synced := make(chan struct{}), make(chan struct{})
-		mux := http.NewServeMux()
-		agentapi.FeedCall.Handle(mux, func(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedUpdate, error) {
+		f.startStubAgent(11, func(ctx context.Context, _ rpc.RequestInfo, request agentapi.FeedRequest) (agentapi.FeedUpdate, error) {
 			update := agentapi.FeedUpdate{FeedResponse: agentapi.FeedResponse{Incarnation: "two", Seq: 1, Entries: []gossip.Entry{serverEntry("i-stays")}}}
 			switch request.Incarnation {
 			case "":
@@ -403,11 +408,6 @@
 			}
 			return update, nil
 		})
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		listener, err := net.Listen("tcp4", f.settings(11, true).AgentAddr())
-		So(err, ShouldBeNil)
-		go rpc.Serve(ctx, listener, mux, time.Minute)
 		f.start(admin.Proxy, 11, true, proxy.Run)
 		waitFor("the proxy knows the servers", func() bool { return f.shows(admin.Proxy, 11, "i-leaves") && f.shows(admin.Proxy, 11, "i-stays") })
 		close(restarted)
