downstream: a connection being set up is closed by CloseIdle too

Two windows: the connection was not accepted yet when the test called CloseIdle once; or CloseIdle ran between the connection's entry in the table and its first read deadline, which then undid CloseIdle's (evict has the same window). The second is a fault of the server: the connection stayed open until the first request's time limit, 2 s. Change: the deadline is set before the connection is entered. The test waits until both connections are accepted; what it asserts is unchanged.

--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -125,16 +125,23 @@
 			s.mu.Unlock()
 			continue
 		}
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.enforceSoftLimit()
-		s.mu.Unlock()
-		s.Exchange.Counters.ClientConnsAccepted.Add(1)
-		s.Exchange.Counters.ClientConns.Add(1)
+		s.register(c)
 		go c.serve()
 	}
 }
 
+// register adds an accepted connection to those that evict and CloseIdle may close. Both do so by a read
+// deadline, so the deadline of the first request is set before: set later, it would undo theirs.
+func (s *Server) register(c *Conn) {
+	c.nc.SetReadDeadline(c.idleSince.Add(s.limits.Load().FirstRequest))
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.enforceSoftLimit()
+	s.mu.Unlock()
+	s.Exchange.Counters.ClientConnsAccepted.Add(1)
+	s.Exchange.Counters.ClientConns.Add(1)
+}
+
 // acquireSlot waits until one more connection may be accepted. While all slots are in use, it
 // evicts an idle connection every slotPollInterval.
 func (s *Server) acquireSlot() {
@@ -289,7 +296,6 @@
 		c.server.Exchange.Counters.ClientConns.Add(-1)
 		<-c.server.slots
 	}()
-	c.nc.SetReadDeadline(c.idleSince.Add(c.server.limits.Load().FirstRequest)) // idleSince may be read without the lock: nothing writes it before begin
 	for {
 		if c.reader.Await() != nil {
 			return
--- a/internal/downstream/httpserver/requests_test.go
+++ b/internal/downstream/httpserver/requests_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -397,6 +398,9 @@
 		idle, _ := p.connect()
 		fmt.Fprintf(c, "GET /look/1 HTTP/1.1\r\nHost: h\r\nX-Saddleport-Attempt-Id: l1\r\nX-Saddleport-Deadline-Ms: 2000\r\n\r\n")
 		<-reached
+		for p.downstream.Clients() < 2 { // until then, the idle connection waits to be accepted
+			runtime.Gosched()
+		}
 		p.downstream.MarkNotReady()
 		p.downstream.CloseAfterResponses()
 		p.downstream.CloseIdle(0)
