--- a/internal/node/controlplane/disk.go
+++ b/internal/node/controlplane/disk.go
@@ -14,6 +14,12 @@
 	"saddleport/internal/node/storage"
 )
 
+// serversCopy is the copy of the tracked servers for the disk, which adoptOrphans reads after a restart.
+type serversCopy struct {
+	encoded []byte // JSON of their gossip entries
+	count   int
+}
+
 // runDisk is the disk goroutine. It writes all queued outputs in one batch. A failed write is retried,
 // and nothing of the batch is sent, announced or answered before the write succeeds.
 func (c *replicaRunner) runDisk(ctx context.Context) {
@@ -26,23 +32,17 @@
 		c.mu.Lock()
 		batch, servers := c.diskQueue, c.serversToPersist
 		c.diskQueue, c.serversToPersist = nil, nil
-		c.writeStartedAt = time.Now()
 		c.mu.Unlock()
 		if record, dirty := mergeRecords(batch); dirty {
 			c.persistWithRetry(ctx, record)
 		}
-		c.mu.Lock()
-		c.writeStartedAt = time.Time{}
-		c.mu.Unlock()
 		if ctx.Err() != nil {
 			return
 		}
-		// No consensus promise depends on this write. It is not retried if it fails: the disk has the servers
-		// again once they have changed.
+		c.releaseOutputs(ctx, batch)
 		if servers != nil {
-			c.store.Put(storage.Entry{Key: keyServers, Value: servers})
+			c.writeServers(servers)
 		}
-		c.releaseOutputs(ctx, batch)
 	}
 }
 
@@ -71,13 +71,29 @@
 		events.DiskWriteFailed.Log("err", err)
 		select {
 		case <-ctx.Done():
+			return
 		case <-time.After(diskRetryInterval):
 		}
-		if reopened, err := storage.Open(c.dataDir); err == nil { // a store rejects all writes after one has failed
-			c.store.Close()
-			c.store = reopened
-		}
+		c.reopenStore()
+	}
+}
+
+// reopenStore opens the store again after a failed write, because a store rejects all writes after that. The
+// former store is closed first: its lock would keep the new one from being opened. If the store cannot be
+// opened or has lost its state, writes go on failing, so that the machine acknowledges nothing.
+func (c *replicaRunner) reopenStore() {
+	c.store.Close()
+	reopened, err := storage.Open(c.dataDir)
+	if err != nil {
+		events.DiskWriteFailed.Log("err", err)
+		return
+	}
+	if state, err := reopened.Get(keyState); err != nil || state == nil {
+		events.DiskWriteFailed.Log("err", "the reopened store has no state", "cause", err)
+		reopened.Close()
+		return
 	}
+	c.store = reopened
 }
 
 // releaseOutputs sends the messages, delivers the results and announces the entry of a batch that was
@@ -114,15 +130,46 @@
 	return c.store.Put(entries...)
 }
 
+// writeServers writes the tracked servers. No consensus promise depends on this write, so it does not delay
+// others: if it fails, it is tried again later.
+func (c *replicaRunner) writeServers(servers *serversCopy) {
+	if err := c.store.Put(storage.Entry{Key: keyServers, Value: servers.encoded}); err != nil {
+		events.DiskWriteFailed.Log("err", err)
+		c.reopenStore()
+		time.AfterFunc(diskRetryInterval, func() { c.retryServers(servers) })
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serversOnDisk = servers.count
+}
+
+// retryServers queues servers whose write failed again, unless newer ones are queued.
+func (c *replicaRunner) retryServers(servers *serversCopy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.serversToPersist == nil {
+		c.serversToPersist = servers
+		c.wakeDisk()
+	}
+}
+
 // persistServers queues the tracked servers for the next write to disk.
-func (c *replicaRunner) persistServers(servers []byte) {
+func (c *replicaRunner) persistServers(servers *serversCopy) {
 	c.mu.Lock()
 	c.serversToPersist = servers
 	c.mu.Unlock()
 	c.wakeDisk()
 }
 
-// loadServers returns the servers that persistServers wrote, or nil if there are none.
+// storedServers returns the number of tracked servers that this process has written to disk.
+func (c *replicaRunner) storedServers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serversOnDisk
+}
+
+// loadServers returns the servers that writeServers wrote, or nil if there are none.
 func (c *replicaRunner) loadServers() (servers []gossip.Entry) {
 	if raw, err := c.store.Get(keyServers); err == nil && raw != nil {
 		json.Unmarshal(raw, &servers)
--- a/internal/node/controlplane/replica.go
+++ b/internal/node/controlplane/replica.go
@@ -33,7 +33,6 @@
 	keyLastAcknowledged = "known" // the last entry known to be acknowledged
 	ViewKey             = "v"     // the gossip key of the view
 	answerTimeout       = 4 * time.Second
-	diskStallTime       = time.Second // not used
 )
 
 // Errors of calls to the replicated state. After ErrStopping the call was not started. After ErrNoAnswer
@@ -65,9 +64,9 @@
 
 	mu               sync.Mutex
 	diskQueue        []diskJob
-	serversToPersist []byte // written with the next batch; no consensus promise depends on it; nil: unchanged
+	serversToPersist *serversCopy // written with the next batch; nil: unchanged
+	serversOnDisk    int          // number of servers in the copy that was written last
 	diskWake         chan struct{}
-	writeStartedAt   time.Time // start of the current write; zero: no write is in progress; not read
 	outboxes         map[outboxKey]*outbox
 	outboxesDone     sync.WaitGroup
 	runCtx           context.Context
@@ -211,7 +210,7 @@
 
 // enqueueDisk queues an output for the disk. If the queue is full because the disk stalls, messages are
 // dropped, as a network may do. Records, announcements and results are merged into the last output
-// and never dropped.
+// and never dropped, except results that no caller waits for any more. It must be called on the loop.
 func (c *replicaRunner) enqueueDisk(job diskJob) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -220,7 +219,8 @@
 		return
 	}
 	last := &c.diskQueue[len(c.diskQueue)-1]
-	last.Results = append(last.Results, job.Results...) // at most one for each waiting caller
+	last.Results = append(last.Results, job.Results...)
+	last.Results = slices.DeleteFunc(last.Results, func(r chain.Result) bool { return c.pendingCalls[r.ID] == nil }) // leaves at most one for each waiting caller
 	if job.announce != nil {
 		last.announce = job.announce
 	}
@@ -289,8 +289,10 @@
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	result := make(chan chain.Result, 1)
+	var id string // owned by the loop
 	err := c.runOnLoop(ctx, func() {
-		id, out := step(c.now())
+		var out replica.Output
+		id, out = step(c.now())
 		c.pendingCalls[id] = result
 		c.processOutput(out)
 	})
@@ -304,6 +306,7 @@
 		}
 		return r, nil
 	case <-ctx.Done():
+		c.runOnLoop(context.Background(), func() { delete(c.pendingCalls, id) }) // runs after step
 		return chain.Result{}, ErrNoAnswer
 	}
 }
--- a/internal/node/controlplane/server.go
+++ b/internal/node/controlplane/server.go
@@ -58,9 +58,8 @@
 // controlPlane handles the calls of servers and operators and runs the periodic work.
 type controlPlane struct {
 	*peer.Node
-	registry       *registry.Registry // guarded by Mu
-	persistedJSON  []byte             // the tracked servers as last queued for the disk, written or not; guarded by Mu
-	persistedCount int                // number of servers in persistedJSON
+	registry      *registry.Registry // guarded by Mu
+	persistedJSON []byte             // the tracked servers as last queued for the disk; guarded by Mu
 
 	replica        *replicaRunner
 	departures     departureQueue
@@ -175,8 +174,8 @@
 	if err != nil || bytes.Equal(raw, s.persistedJSON) {
 		return
 	}
-	s.persistedJSON, s.persistedCount = raw, len(list)
-	s.replica.persistServers(raw)
+	s.persistedJSON = raw
+	s.replica.persistServers(&serversCopy{encoded: raw, count: len(list)})
 }
 
 // adoptOrphans makes this machine track servers that no machine tracks: its own from before a restart
--- a/internal/node/controlplane/show.go
+++ b/internal/node/controlplane/show.go
@@ -31,7 +31,7 @@
 	tables, err := s.Node.Tables(ctx)
 	s.Mu.Lock()
 	defer s.Mu.Unlock()
-	servers := admin.Table{Title: "servers here", Columns: []string{"tracked here", "stored on disk"}, Rows: [][]string{{fmt.Sprint(s.registry.Len()), fmt.Sprint(s.persistedCount)}}}
+	servers := admin.Table{Title: "servers here", Columns: []string{"tracked here", "stored on disk"}, Rows: [][]string{{fmt.Sprint(s.registry.Len()), fmt.Sprint(s.replica.storedServers())}}}
 	return append(append(replicaInfo, servers), tables...), err
 }
 
--- a/internal/node/controlplane/store.go
+++ b/internal/node/controlplane/store.go
@@ -17,16 +17,24 @@
 	"saddleport/internal/node/storage"
 )
 
-// Reasons not to trust the state on a disk.
+// Reasons not to trust the state on a disk, besides storage.ErrDamaged.
 var (
-	ErrForeignState  = errors.New("the stored state belongs to another machine")
-	ErrOutdatedEntry = errors.New("the stored configuration is older than the stored view requires")
+	ErrForeignState   = errors.New("the stored state belongs to another machine")
+	ErrOutdatedEntry  = errors.New("the stored configuration is older than the stored view requires")
+	ErrUndecodedState = errors.New("the stored state cannot be decoded")
 )
 
+// isUntrusted reports whether an error of readStore means that the state on the disk cannot be relied upon. Any
+// other error says nothing about the state: the disk may be full, or another process may have it open.
+func isUntrusted(err error) bool {
+	return errors.Is(err, storage.ErrDamaged) || errors.Is(err, ErrForeignState) || errors.Is(err, ErrOutdatedEntry) || errors.Is(err, ErrUndecodedState)
+}
+
 // openStore opens the store of this machine. A disk that is empty although Bootstrap is not set (so the
-// system is not new), that cannot be read, or that belongs to another machine is treated as a new disk:
+// system is not new), that is damaged, or that belongs to another machine is treated as a new disk:
 // its former contents and consensus promises are unknown, and the machine has no vote until the other
-// members grant it one.
+// members grant it one. If the disk only refuses to be opened, its state is left in place and the error is
+// returned: the machine keeps its vote for the next start.
 func openStore(boot *nodesettings.Settings) (*storage.Store, replica.Record, error) {
 	store, record, err := readStore(boot)
 	if err == nil && record.State.Self == (views.Member{}) {
@@ -35,10 +43,13 @@
 	if err == nil {
 		return store, record, nil
 	}
-	events.DiskDamaged.Log("dir", boot.DataDir, "err", err)
 	if store != nil {
 		store.Close()
 	}
+	if !isUntrusted(err) {
+		return nil, record, err
+	}
+	events.DiskDamaged.Log("dir", boot.DataDir, "err", err)
 	if err := moveDamagedState(boot.DataDir); err != nil {
 		return nil, record, err
 	}
@@ -88,7 +99,7 @@
 		return store, record, err
 	}
 	if record, err = replica.DecodeState(state); err != nil {
-		return store, record, err
+		return store, record, fmt.Errorf("%w: %w", ErrUndecodedState, err)
 	}
 	if ownAddr := boot.PeerAddr(); record.State.Self.Addr != ownAddr {
 		return store, record, fmt.Errorf("%w: it belongs to %s, and this machine is %s", ErrForeignState, record.State.Self.Addr, ownAddr)
@@ -100,7 +111,7 @@
 	if raw != nil {
 		record.Entry = &chain.Entry{}
 		if err := json.Unmarshal(raw, record.Entry); err != nil {
-			return store, record, err
+			return store, record, fmt.Errorf("%w: %w", ErrUndecodedState, err)
 		}
 	}
 	if record.EntryBehindView() {
--- a/internal/node/controlplane/store_test.go
+++ b/internal/node/controlplane/store_test.go
@@ -75,6 +75,18 @@
 			_, err = os.Stat(filepath.Join(dir, "damaged"))
 			So(err, ShouldBeNil)
 		})
+		Convey("that cannot be opened now keeps its state and identity", func() {
+			open, err := storage.Open(dir) // a former process that has not ended yet
+			So(err, ShouldBeNil)
+			_, err = reopen(1)
+			So(err, ShouldNotBeNil)
+			So(open.Close(), ShouldBeNil)
+			reopened, err := reopen(1)
+			So(err, ShouldBeNil)
+			So(reopened.State.Self, ShouldResemble, r.State.Self)
+			_, err = os.Stat(filepath.Join(dir, "damaged"))
+			So(os.IsNotExist(err), ShouldBeTrue)
+		})
 		Convey("of another address makes a new member", func() {
 			machines.dirs[2] = dir
 			reopened, err := reopen(2)
--- a/internal/node/storage/storage.go
+++ b/internal/node/storage/storage.go
@@ -5,11 +5,13 @@
 package storage
 
 import (
+	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 
 	"github.com/syndtr/goleveldb/leveldb"
-	"github.com/syndtr/goleveldb/leveldb/errors"
+	leveldberrors "github.com/syndtr/goleveldb/leveldb/errors"
 	"github.com/syndtr/goleveldb/leveldb/opt"
 	"github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
@@ -19,6 +21,18 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("store")
 
+// ErrDamaged is the cause of an error if the stored data itself cannot be read. After any other error, such
+// as a full disk or a store that another process has open, the data may be sound.
+var ErrDamaged = errors.New("the stored data is damaged")
+
+// wrap adds the class Error to an error, and ErrDamaged if the data is damaged.
+func wrap(err error) error {
+	if leveldberrors.IsCorrupted(err) {
+		err = fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return Error.Wrap(err)
+}
+
 // Store is an open key-value store. It is safe for concurrent use.
 type Store struct {
 	db    *leveldb.DB
@@ -37,11 +51,11 @@
 func Open(dir string) (*Store, error) {
 	path := filepath.Join(dir, "state")
 	if err := os.MkdirAll(path, 0o755); err != nil {
-		return nil, Error.Wrap(err)
+		return nil, wrap(err)
 	}
 	files, err := storage.OpenFile(path, false)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, wrap(err)
 	}
 	return OpenFiles(files)
 }
@@ -50,12 +64,12 @@
 // was interrupted never contained data and is created again.
 func OpenFiles(files storage.Storage) (*Store, error) {
 	db, err := leveldb.Open(files, options)
-	if errors.IsCorrupted(err) && clearUnfinished(files) {
+	if leveldberrors.IsCorrupted(err) && clearUnfinished(files) {
 		db, err = leveldb.Open(files, options)
 	}
 	if err != nil {
 		files.Close()
-		return nil, Error.Wrap(err)
+		return nil, wrap(err)
 	}
 	return &Store{db: db, files: files}, nil
 }
@@ -86,7 +100,7 @@
 	if err == leveldb.ErrNotFound {
 		return nil, nil
 	}
-	return v, Error.Wrap(err)
+	return v, wrap(err)
 }
 
 // Entry is a key and its value. Writing an entry without a value deletes the key.
@@ -105,7 +119,7 @@
 			b.Put([]byte(e.Key), e.Value)
 		}
 	}
-	return Error.Wrap(s.db.Write(&b, &opt.WriteOptions{Sync: true}))
+	return wrap(s.db.Write(&b, &opt.WriteOptions{Sync: true}))
 }
 
 // All returns the keys that begin with prefix, and their values.
@@ -116,7 +130,7 @@
 	for iterator.Next() {
 		out[string(iterator.Key())] = append([]byte(nil), iterator.Value()...)
 	}
-	return out, Error.Wrap(iterator.Error())
+	return out, wrap(iterator.Error())
 }
 
 // Close closes the store and its files.
@@ -125,5 +139,5 @@
 	if closeErr := s.files.Close(); err == nil {
 		err = closeErr
 	}
-	return Error.Wrap(err)
+	return wrap(err)
 }
--- a/internal/node/storage/storage_test.go
+++ b/internal/node/storage/storage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -280,6 +281,21 @@
 		So(string(v), ShouldBeIn, "v", "w")
 		s.Close()
 	})
+	Convey("Only damaged data is reported as damaged", t, func() {
+		d := newDisk(rand.New(rand.NewPCG(1, 1)))
+		s, err := OpenFiles(d)
+		So(err, ShouldBeNil)
+		So(s.Put(Entry{Key: "k", Value: []byte("v")}), ShouldBeNil)
+		s.Close()
+		d.full = true
+		_, err = OpenFiles(d)
+		So(err, ShouldNotBeNil)
+		So(errors.Is(err, ErrDamaged), ShouldBeFalse)
+		d.full = false
+		d.files[d.meta].content = []byte("not a manifest")
+		_, err = OpenFiles(d)
+		So(errors.Is(err, ErrDamaged), ShouldBeTrue)
+	})
 	Convey("The size of the store is bounded after many writes", t, func() {
 		dir := t.TempDir()
 		s, err := Open(dir)
