--- a/choice/regressions_test.go
+++ b/choice/regressions_test.go
@@ -565,7 +565,7 @@
 func TestServersThatStayGoneAreDropped(t *testing.T) {
 	h := newListedHarness(t, 1, nil)
 	for i := range 200 {
-		row := Server{ID: fmt.Sprintf("n%d", i), Cell: 0, State: Ready, Scale: 1, UpSince: h.now}
+		row := Server{ID: fmt.Sprintf("n%d", i), Cell: 0, State: Ready, Scale: 1, UpSince: h.now, Zone: fmt.Sprint("zone-", i), Kind: fmt.Sprint("kind-", i)}
 		h.step(List{Form: Delta, Servers: []Server{row}})
 		h.now += sec
 		row.State = Gone
@@ -575,6 +575,11 @@
 	if n := len(h.router.servers); n != 4 || len(h.router.cells[0]) != 1 || h.router.readyServers != 4 {
 		t.Fatalf("%d servers, %d in the cell, %d ready; want 4, 1, 4", n, len(h.router.cells[0]), h.router.readyServers)
 	}
+	for _, groups := range [][]*group{h.router.zones, h.router.kinds} {
+		if len(groups) > 4 {
+			t.Errorf("%d groups of 4 servers", len(groups))
+		}
+	}
 }
 
 // After a long run with all kinds of outcomes, a router must hold no more state than before.
--- a/choice/state.go
+++ b/choice/state.go
@@ -489,6 +489,18 @@
 	delete(r.servers, s.ID)
 	cell := r.cells[s.Cell]
 	r.cells[s.Cell] = slices.DeleteFunc(cell, func(other *server) bool { return other == s })
+	r.zones = r.dropUnusedGroup(r.zones, s.groups[0])
+	r.kinds = r.dropUnusedGroup(r.kinds, s.groups[1])
+}
+
+// dropUnusedGroup returns the groups without g if no server is in g any more.
+func (r *Router) dropUnusedGroup(groups []*group, g *group) []*group {
+	for _, s := range r.servers {
+		if slices.Contains(s.groups, g) {
+			return groups
+		}
+	}
+	return slices.DeleteFunc(groups, func(other *group) bool { return other == g })
 }
 
 // unplan undoes a plan that was not sent. It spares the leading parts of q as long as these have at most keep
