--- a/internal/node/proxy/proxy.go
+++ b/internal/node/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,6 +78,7 @@
 	outliers       *outlierTracker
 	quotas         *quotaClient
 	maxConnections map[string]int  // limit for the connections to a server, by service
+	limitsOutdated bool            // maxConnections or proxyCount has changed since all servers were given their limits (limits.go)
 	unnumbered     map[string]bool // keys of entries that wait for a shard number (numbers.go)
 
 	unconfirmed map[string]bool // keys of entries; true: the restarted agent has not sent the entry yet
@@ -212,6 +214,7 @@
 			p.purge()
 			p.releaseNumbers(time.Now())
 			p.updateBudget()
+			p.refreshLimits()
 			p.mu.Unlock()
 		case <-counters.C:
 			events.Counters.Log("c", p.exchange.Counters.String(), "unrouted", p.routes.Unrouted.Load())
@@ -316,11 +319,15 @@
 func (p *proxy) applyStored(entries []gossip.Entry) {
 	update := choice.List{Form: choice.Delta}
 	var upstreamServers []httpclient.Server
+	if i := slices.IndexFunc(entries, isConfiguration); i >= 0 { // first: the limits of servers depend on it
+		p.applyConfiguration(entries[i])
+		p.refreshLimits()
+	}
 	for _, entry := range entries {
-		delete(p.unnumbered, entry.Key)
+		if !isConfiguration(entry) {
+			delete(p.unnumbered, entry.Key)
+		}
 		switch {
-		case entry.Key == agentapi.ConfigurationKey:
-			p.applyConfiguration(entry)
 		case entry.Key == agentapi.EjectionsKey:
 			p.outliers.applyAssignment(entry)
 		case strings.HasPrefix(entry.Key, registry.Prefix):
@@ -339,9 +346,12 @@
 	}
 }
 
+func isConfiguration(entry gossip.Entry) bool { return entry.Key == agentapi.ConfigurationKey }
+
 // applyConfiguration puts the configuration of an entry in force. If it is invalid the old one stays. The
 // caller must hold mu.
 func (p *proxy) applyConfiguration(entry gossip.Entry) {
+	delete(p.unnumbered, entry.Key)
 	config, err := routeconfig.Parse(entry.Value)
 	var plan *httpserver.Plan
 	if err == nil {
@@ -352,9 +362,7 @@
 		events.ConfigUnusable.Log("rank", entry.Version, "err", err)
 		return
 	}
-	for name, service := range config.Services {
-		p.maxConnections[name] = service.MaxConnections
-	}
+	p.setMaxConnections(config.Services)
 	p.quotas.setAllowances(config)
 	p.exchange.UpdateClasses(plan.Classes)
 	p.routes.SetPlan(plan)
@@ -388,11 +396,7 @@
 	case registry.Draining:
 		server.State = choice.Draining
 	}
-	maxConns := 0
-	if limit := p.maxConnections[registered.Service]; limit > 0 {
-		maxConns = max(limit/max(p.proxyCount, minProxies), 2)
-	}
-	return server, httpclient.Server{ID: registered.ID, Addr: registered.Addr, MaxConns: maxConns, Draining: registered.State == registry.Draining}, true
+	return server, p.upstreamServer(registered), true
 }
 
 // distance returns the distance from this proxy's zone to another one, see nodesettings.Distance.
@@ -417,6 +421,7 @@
 	p.quotas.setProxies(proxies)
 	retrySlack := p.retryBudget.Share(time.Since(p.startedAt).Microseconds(), proxies)
 	if proxies = max(proxies, minProxies); proxies != p.proxyCount || retrySlack != p.retrySlack {
+		p.limitsOutdated = p.limitsOutdated || proxies != p.proxyCount
 		p.proxyCount, p.retrySlack = proxies, retrySlack
 		p.exchange.UpdateTier(choice.Tier{Routers: proxies, RetryBudgetMin: retrySlack})
 	}
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -113,11 +113,12 @@
 	p.forget(s)
 }
 
-// release makes a connection idle after an answer, or closes it if keep is false or it is draining.
+// release makes a connection idle after an answer, or closes it if keep is false, it is draining, or the
+// server has more connections than it may have.
 // A connection that becomes idle takes the first waiting call that may use it.
 func (c *conn) release(keep bool) {
 	c.busy, c.call, c.used, c.idleSince = false, nil, true, time.Now()
-	if !keep || c.draining {
+	if !keep || c.draining || c.server.hasSurplus() {
 		c.closeWith(choice.ConnectionLost)
 		return
 	}
--- a/internal/upstream/httpclient/httpclient.go
+++ b/internal/upstream/httpclient/httpclient.go
@@ -82,6 +82,9 @@
 	drainedAt     time.Time // from this time on no request is sent; zero: the server is not draining
 }
 
+// hasSurplus reports whether the server has more connections than it may have, as MaxConns was lowered.
+func (s *server) hasSurplus() bool { return s.MaxConns > 0 && len(s.conns)+s.dialing > s.MaxConns }
+
 // drained reports whether the server gets no further request.
 func (s *server) drained() bool {
 	return s.Gone || !s.drainedAt.IsZero() && !time.Now().Before(s.drainedAt)
@@ -184,11 +187,23 @@
 		default:
 			s.Server = t
 			p.updateDrain(s)
+			p.closeSurplus(s)
 			p.openConn(s) // MaxConns may have grown
 		}
 	}
 }
 
+// closeSurplus closes idle connections above the server's limit. Those in use are closed by release.
+func (p *Pool) closeSurplus(s *server) {
+	for s.hasSurplus() {
+		c := s.longestIdle()
+		if c == nil {
+			return
+		}
+		c.closeWith(choice.ConnectionLost)
+	}
+}
+
 // updateDrain sets drainedAt after an update of a server. The calls that wait for a connection then end:
 // none may be sent later, whenever a connection becomes idle.
 func (p *Pool) updateDrain(s *server) {
--- a/internal/upstream/httpclient/httpclient_test.go
+++ b/internal/upstream/httpclient/httpclient_test.go
@@ -118,6 +118,19 @@
 			So((<-f.submit(true)).Ending, ShouldEqual, exchange.Answered)
 			f.waitFor(func(s *server) bool { return len(s.conns) <= maxConns })
 		})
+		// Guards against connections above a limit that has been lowered, which the server resets.
+		Convey("closes those above a lowered limit as they become idle", func() {
+			f.pool.UpdateServers([]Server{{ID: f.server.ID, Addr: f.server.Addr, MaxConns: maxConns - 1}})
+			finishFirst()
+			f.waitFor(func(s *server) bool { return len(s.conns) == maxConns-1 })
+			So((<-f.submit(false)).Ending, ShouldEqual, exchange.Answered)
+		})
+		Convey("closes idle ones above a lowered limit at once", func() {
+			finishFirst()
+			f.waitFor(func(s *server) bool { return len(s.conns) == maxConns && !s.conns[0].busy && !s.conns[1].busy })
+			f.pool.UpdateServers([]Server{{ID: f.server.ID, Addr: f.server.Addr, MaxConns: maxConns - 1}})
+			f.waitFor(func(s *server) bool { return len(s.conns) == maxConns-1 })
+		})
 		// Guards against a request that reaches a server long after it began to drain, because it waited until a
 		// connection was idle.
 		Convey("gets no request that waits until it has drained", func() {
