--- a/internal/downstream/httpserver/httpserver.go
+++ b/internal/downstream/httpserver/httpserver.go
@@ -28,7 +28,8 @@
 	headerMissingParts   = "X-Saddleport-Missing-Parts"
 
 	maxDeadline        = 5 * time.Minute
-	maxAttemptIDLength = 200
+	maxAttemptIDLength = 200                    // of an id by which the exchange tells requests apart; a longer one is only passed on
+	generatedIDPrefix  = " "                    // of the exchange's ids for other requests; no header value begins with a space
 	recordSize         = 16                     // bytes of a record in the answer to a part
 	defaultRetryAfter  = 250 * time.Millisecond // used while there is no configuration, and if the exchange gives no time
 	shutdownRetryAfter = 50 * time.Millisecond  // from a process that is shutting down: other proxies are available
@@ -55,8 +56,8 @@
 // Plan returns the plan in force, or nil if there is none yet.
 func (h *Handler) Plan() *Plan { return h.plan.Load() }
 
-// Serve implements downstream.Protocol. A request without a usable id gets a generated one, "~"
-// and a number, which is not sent to servers.
+// Serve implements downstream.Protocol. A request without a usable id gets a generated one for the exchange,
+// which is not sent to servers.
 func (h *Handler) Serve(c *downstream.Conn, r *httpwire.Request, at time.Time) bool {
 	keep := r.KeepAlive && !c.Closing()
 	c.NoteActivity(at)
@@ -84,10 +85,10 @@
 		}
 	}
 	targets := p.targets[route]
-	q := &exchange.Query{ID: r.Header.Get(headerAttemptID), Class: targets.class, ReceivedAt: at, FanOut: len(route.FanoutServices) > 0,
+	q := &exchange.Query{ID: r.Header.Get(headerAttemptID), UpstreamID: r.Header.Get(headerAttemptID), Class: targets.class, ReceivedAt: at, FanOut: len(route.FanoutServices) > 0,
 		NonIdempotent: !route.Idempotent, MinShare: route.MinSuccessRatio}
 	if q.ID == "" || len(q.ID) > maxAttemptIDLength {
-		q.ID = "~" + strconv.FormatInt(h.number.Add(1), 10)
+		q.ID = generatedIDPrefix + strconv.FormatInt(h.number.Add(1), 10)
 	}
 	if q.Timeout = route.Timeout; true {
 		if ms, err := strconv.ParseFloat(r.Header.Get(headerDeadline), 64); err == nil && ms >= 0 {
@@ -105,7 +106,7 @@
 		q.Class = targets.classes[i]
 		q.Parts = []exchange.Part{{Shard: targets.shards[i], Weight: 1}}
 	}
-	q.Text = upstreamRequest(r, q.ID)
+	q.Text = upstreamRequest(r, q.UpstreamID)
 	return c.RunQuery(q, r.KeepAlive, func(f exchange.Final, keep bool) bool {
 		if f.Ending == exchange.Answered {
 			if q.FanOut {
@@ -191,7 +192,7 @@
 	b.WriteString(r.Target)
 	b.WriteString(" HTTP/1.1\r\n")
 	field("Host", r.Header.Get("Host"))
-	if id[0] != '~' { // a generated id is not sent
+	if id != "" {
 		field(headerAttemptID, id)
 	}
 	var connectionOptions []string
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -34,6 +34,9 @@
 	neverRan        bool // the attempt has ended without having run
 }
 
+// UpstreamID returns the id that the answer to the attempt must carry.
+func (a *Attempt) UpstreamID() string { return a.part.query.UpstreamID }
+
 // QueryID returns the id of the query that the attempt belongs to.
 func (a *Attempt) QueryID() string { return a.part.query.ID }
 
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -56,7 +56,7 @@
 	k.conn, c.call, c.busy, c.sentAt, c.fanOut = c, k, true, now, a.FanOut()
 	a.ConnNumber = c.number
 	c.method, _, _ = strings.Cut(a.Text[:at], " ")
-	c.id = a.QueryID()
+	c.id = a.UpstreamID()
 	headSize := bytes.Index(buf, []byte("\r\n\r\n")) + 4
 	c.nc.SetWriteDeadline(now.Add(writeTimeout))
 	if len(buf) <= directWriteSize {
@@ -193,7 +193,9 @@
 func (c *conn) handleAnswer(response *httpwire.Response, err error) {
 	// An answer may arrive before the request is completely written. The connection must not
 	// be reused then: the server would read the next request as the rest of the body.
-	keep := err == nil && response.KeepAlive && c.reader.Buffered() == 0 && (!c.writing || c.pool.Mutations.ReuseEarly)
+	// After a request without an id the connection is not reused either: a second answer to it could not be
+	// distinguished from the answer to the next such request.
+	keep := err == nil && response.KeepAlive && c.id != "" && c.reader.Buffered() == 0 && (!c.writing || c.pool.Mutations.ReuseEarly)
 	verdict, value := choice.ServerError, ""
 	var load []choice.Reading
 	var malformed *httpwire.Error
--- a/internal/upstream/httpclient/httpclient_test.go
+++ b/internal/upstream/httpclient/httpclient_test.go
@@ -55,7 +55,7 @@
 	f.queries++
 	done := make(chan exchange.Final, 1)
 	id := fmt.Sprint("q", f.queries)
-	f.exchange.Submit(&exchange.Query{ID: id, Class: "c", Text: "POST /x HTTP/1.1\r\nContent-Length: 0\r\nX-Saddleport-Attempt-Id: " + id + "\r\n\r\n",
+	f.exchange.Submit(&exchange.Query{ID: id, UpstreamID: id, Class: "c", Text: "POST /x HTTP/1.1\r\nContent-Length: 0\r\nX-Saddleport-Attempt-Id: " + id + "\r\n\r\n",
 		ReceivedAt: time.Now(), Timeout: testTimeout, NonIdempotent: nonIdempotent, Parts: []exchange.Part{{Weight: 1}},
 		Done: func(final exchange.Final) { done <- final }})
 	return done
