--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,8 +35,8 @@
 // Query is a query as the downstream side received it. Class names one of the router's
 // classes. Key and Tenant are passed to the router and to hooks.
 type Query struct {
-	ID            string        // unique among the queries in progress
-	UpstreamID    string        // the id that answers of servers must carry; empty: they must carry none; only used by upstream/httpclient
+	ID            string // unique among the queries in progress
+	UpstreamID    string // the id that answers of servers must carry; empty: they must carry none; only used by upstream/httpclient
 	Class         string
 	Key           string
 	Tenant        string
