--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -545,7 +545,7 @@
 	q := qs.Query
 	x.lastNumber++
 	ev := choice.Query{ID: q.ID, Class: qs.class, Number: x.lastNumber, Key: q.Key, Tenant: q.Tenant,
-		Grace:  max(qs.deadline.Sub(x.loop.Now()).Microseconds(), 0),
+		Grace:  max(x.timeLeft(qs).Microseconds(), 0),
 		Repeat: q.ClientRetry, Parts: len(qs.parts), Hinted: true}
 	// If hooks dropped so many parts that the remaining ones can't make a complete
 	// answer, the weights are scaled so that the router needs all of the remaining parts.
@@ -705,6 +705,9 @@
 	}
 }
 
+// timeLeft returns the time until the deadline of a query, by the clock of the event loop.
+func (x *Exchange) timeLeft(qs *queryState) time.Duration { return qs.deadline.Sub(x.loop.Now()) }
+
 // removeIfDone removes a part once its query has ended and no attempt of it is in flight.
 func (x *Exchange) removeIfDone(p *partState) {
 	if p.query.ended && p.inFlight == 0 {
--- a/internal/exchange/hooks.go
+++ b/internal/exchange/hooks.go
@@ -90,7 +90,7 @@
 		then(nil)
 		return
 	}
-	within := min(state.Timeout(point, qs.class), time.Until(qs.deadline)-hookMargin)
+	within := min(state.Timeout(point, qs.class), x.timeLeft(qs)-hookMargin)
 	if within <= 0 {
 		x.Counters.HookNoTime.Add(1)
 		x.post(func() { // posted because the caller may be in the middle of a Turn
@@ -127,7 +127,7 @@
 func (x *Exchange) view(qs *queryState, point hookabi.Point, at *partState, attempt int) *hookabi.View {
 	x.hookSeed = x.hookSeed*6364136223846793005 + 1442695040888963407 // Knuth's MMIX generator; one step per view
 	v := &hookabi.View{Point: point, ID: qs.ID, Class: qs.class, Key: qs.Key, Tenant: qs.Tenant, Text: qs.Text, Repeat: qs.ClientRetry,
-		TakenAt: qs.ReceivedAt.UnixMicro(), Left: max(time.Until(qs.deadline).Microseconds(), 0), Seed: x.hookSeed,
+		TakenAt: qs.ReceivedAt.UnixMicro(), Left: max(x.timeLeft(qs).Microseconds(), 0), Seed: x.hookSeed,
 		Tags: slices.Clone(qs.hookState.tags), Notes: slices.Clone(qs.hookState.notes), Part: -1, Attempt: attempt,
 		Parts: make([]hookabi.PartView, len(qs.parts))}
 	share := 0.0
@@ -245,10 +245,12 @@
 	qs := p.query
 	a.awaitingHooks = true
 	x.callHooks(qs, hookabi.Send, p, a.Index, func(r *hookabi.Result) {
+		if !x.applyResult(qs, p, r) {
+			x.recordOutcome(a, choice.NotSent, nil, "") // the upstream side will not receive the attempt
+			return
+		}
 		a.awaitingHooks = false
-		if !x.applyResult(qs, p, r) || a.cancelling {
-			// The attempt is not handed over. If it was cancelled, cancel has reported it as
-			// NotSent. If the hooks refused the query, no outcome is reported here.
+		if a.cancelling { // cancel has reported the attempt as NotSent
 			return
 		}
 		now := x.loop.Now()
--- a/internal/exchange/segments.go
+++ b/internal/exchange/segments.go
@@ -171,9 +171,7 @@
 	if epoch > current {
 		s.source.RequestEpoch(epoch)
 	}
-	// time.Until reads the system clock, in this file and in hooks.go, also if the event
-	// loop has a virtual clock.
-	t := placement.AfterRejection(p.moveRejections, epoch, current, time.Until(qs.deadline).Microseconds())
+	t := placement.AfterRejection(p.moveRejections, epoch, current, x.timeLeft(qs).Microseconds())
 	if t.Abandon || p.priorAttempts+len(p.attempts) >= x.settings.Router.AttemptCap {
 		return
 	}
@@ -200,7 +198,7 @@
 		return
 	}
 	targets, err := s.current.Reroute(p.target, s.maxTargets)
-	if err != nil || time.Until(qs.deadline) <= 0 {
+	if err != nil || x.timeLeft(qs) <= 0 {
 		x.reportDeferredOutcomes(p)
 		return
 	}
@@ -218,7 +216,7 @@
 	x.lastNumber++
 	class := x.class(qs.class)
 	ev := choice.Query{ID: subquery, Class: qs.class, Number: x.lastNumber, Key: qs.Key, Tenant: qs.Tenant,
-		Grace: max(time.Until(qs.deadline).Microseconds(), 0), Parts: len(targets)}
+		Grace: max(x.timeLeft(qs).Microseconds(), 0), Parts: len(targets)}
 	x.events = append(x.events, ev)
 	weight := p.target.Weight()
 	for i := range targets {
--- a/internal/exchange/segments_test.go
+++ b/internal/exchange/segments_test.go
@@ -43,7 +43,7 @@
 // moved, and meanwhile the two segments have been merged. The parts that replace them
 // have the same id on the wire and must not be in flight together.
 func TestSegmentsMergedAfterRejection(t *testing.T) {
-	loop := &manualLoop{now: time.Now()}
+	loop := &manualLoop{now: time.Unix(1_000_000_000, 0)} // not the system clock
 	set := settings.Settings{Router: choice.Settings{Cells: 2, Width: 1, Shards: 2, Routers: 1, AttemptCap: 4, Resolution: 1000, MaxPartsPerCall: 1, AskWithin: 10_000_000,
 		Classes: []choice.Class{{Name: "report", LatencyTarget: 5_000_000, Deadline: 20_000_000, RequiredShare: 1, MinShare: 1, Value: 1}}}}
 	router, err := choice.New(1, set.Router)
