--- a/internal/cluster/gossip/gossip_test.go
+++ b/internal/cluster/gossip/gossip_test.go
@@ -51,6 +51,18 @@
 		So(store.NothingPending(), ShouldBeTrue)
 		So(store.Missing([]EntryVersion{{"small", 1}, {"small", 2}, {"x", 1}}), ShouldResemble, []string{"small", "x"})
 	})
+	Convey("An entry that was removed and is stored again is forwarded once a message", t, func() {
+		store := NewStore()
+		store.Put(1, newTestEntry("k", 1, `1`), 2, true)
+		store.Remove("k")
+		So(store.NothingPending(), ShouldBeTrue)
+		store.Put(2, newTestEntry("k", 2, `1`), 2, true)
+		for range 2 {
+			sameZone, _ := store.TakePending()
+			So(sameZone.Inline, ShouldHaveLength, 1)
+		}
+		So(store.NothingPending(), ShouldBeTrue)
+	})
 	Convey("Two stores that compare digests converge, and equal stores exchange nothing", t, func() {
 		rng := rand.New(rand.NewPCG(3, 4))
 		for range 200 {
--- a/internal/cluster/gossip/store.go
+++ b/internal/cluster/gossip/store.go
@@ -163,11 +163,16 @@
 	}
 }
 
-// Remove removes a key without leaving a tombstone.
+// Remove removes a key without leaving a tombstone, and no longer forwards its entry.
 func (s *Store) Remove(key string) {
-	if stored := s.entries[key]; stored != nil {
-		s.digest[bucket(key)] ^= entryHash(stored.Entry)
-		delete(s.entries, key)
+	stored := s.entries[key]
+	if stored == nil {
+		return
+	}
+	s.digest[bucket(key)] ^= entryHash(stored.Entry)
+	delete(s.entries, key)
+	if stored.transmitsLeft > 0 {
+		s.pending = slices.DeleteFunc(s.pending, func(queued string) bool { return queued == key })
 	}
 }
 
@@ -314,7 +319,7 @@
 func (s *Store) PurgeTombstones(now int64) {
 	for key, stored := range s.entries {
 		if stored.Deleted() && now-stored.changedAt > tombstoneLifetime {
-			delete(s.entries, key)
+			s.Remove(key)
 		}
 	}
 }
--- a/internal/cluster/quota/allowance.go
+++ b/internal/cluster/quota/allowance.go
@@ -104,6 +104,7 @@
 		if _, still := l.allowances[name]; !still {
 			delete(l.leases, name)
 			delete(l.Demand, name)
+			delete(l.Admitted, name)
 		}
 	}
 }
--- a/internal/cluster/quota/allowance_test.go
+++ b/internal/cluster/quota/allowance_test.go
@@ -210,6 +210,9 @@
 		start := s.now
 		s.run(20*sec, 500, func() int { return s.rng.IntN(3) })
 		So(s.maxInTenSeconds(start), ShouldBeLessThan, 75)
+		So(s.lessors[0].Admitted, ShouldNotBeEmpty)
+		s.lessors[0].SetAllowances(nil)
+		So(len(s.lessors[0].Admitted)+len(s.lessors[0].Demand), ShouldEqual, 0)
 		s.holders[0].SetAllowances(s.now, nil)
 		ok, _ := s.holders[0].Admit(s.now, "billing")
 		So(ok, ShouldBeTrue)
--- a/internal/cluster/routeconfig/routeconfig.go
+++ b/internal/cluster/routeconfig/routeconfig.go
@@ -102,6 +102,15 @@
 	return n
 }
 
+// notNegative reads an optional number that may not be negative; 0: it is not given.
+func notNegative(reader paths.Reader) int {
+	n := reader.Int()
+	if n < 0 {
+		reader.Failf("%d is negative", n)
+	}
+	return int(n)
+}
+
 // Parse parses and completely validates a configuration. The error names the path of the invalid
 // value.
 func Parse(raw []byte) (*Config, error) {
@@ -118,7 +127,7 @@
 	}
 	for _, item := range services {
 		service := &Service{Name: item.Object().At("name").Required().Text(), HealthCheckPath: item.At("health_check_path").Text(),
-			MaxConnections: int(item.At("max_connections").Int())}
+			MaxConnections: notNegative(item.At("max_connections"))}
 		if config.Services[service.Name] != nil {
 			item.At("name").Failf("duplicate service name %.60q", service.Name)
 		}
@@ -170,7 +179,7 @@
 	reader.Object()
 	route := &Route{Name: reader.At("name").Text(), Host: strings.ToLower(reader.At("hostname").Required().Text()),
 		Prefix: reader.At("path_prefix").Required().Text(), Priority: int(reader.At("priority").Int()),
-		MaxAttempts: max(int(reader.At("max_attempts").Int()), 1), ResultLimit: int(reader.At("result_limit").Int())}
+		MaxAttempts: max(int(reader.At("max_attempts").Int()), 1), ResultLimit: notNegative(reader.At("result_limit"))}
 	route.Idempotent = parseRouteType(reader.At("route_type").Required())
 	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
 		reader.At("path_prefix").Failf("%.60q does not start and end with a slash", route.Prefix)
--- a/internal/cluster/routeconfig/routeconfig_test.go
+++ b/internal/cluster/routeconfig/routeconfig_test.go
@@ -34,6 +34,8 @@
 	})
 	Convey("An invalid value is rejected with its path", t, func() {
 		for change, path := range map[string]string{
+			`"max_connections":76>"max_connections":-1`:                            "services[0].max_connections",
+			`"result_limit":10>"result_limit":-1`:                                  "routes[0].result_limit",
 			`"timeout_ms":1200>"timeout_ms":0`:                                     "routes[0].timeout_ms",
 			`"target_service":"s1">"target_service":"nobody"`:                      "routes[1].target_service",
 			`["s1","s2"]>["s1","s3"]`:                                              "routes[0].fanout_services[1]",
--- a/internal/node/cli/cli.go
+++ b/internal/node/cli/cli.go
@@ -99,5 +99,7 @@
 func setRuntimeLimits(gcPercent, memoryMB int) {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(memoryMB) * memoryLimitShare * (1 << 20)))
+	if memoryMB > 0 { // otherwise no limit is known; one of 0 would make the collector run without pause
+		debug.SetMemoryLimit(int64(float64(memoryMB) * memoryLimitShare * (1 << 20)))
+	}
 }
--- a/internal/node/proxy/proxy.go
+++ b/internal/node/proxy/proxy.go
@@ -227,8 +227,7 @@
 	request, unreachable := agentapi.FeedRequest{}, false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, agentapi.FeedWait+5*time.Second)
-		configuration, _ := p.store.Get(agentapi.ConfigurationKey)
-		request.ConfigVersion = configuration.Version
+		request.ConfigVersion = p.storedConfiguration().Version
 		response, err := agentapi.FeedCall.Invoke(callCtx, p.client, p.settings.AgentAddr(), "", request)
 		cancel()
 		if err != nil && ctx.Err() == nil && !unreachable {
@@ -248,12 +247,21 @@
 		}
 		p.applyFeed(response, response.Incarnation != request.Incarnation)
 		request = agentapi.FeedRequest{Incarnation: response.Incarnation, Since: response.Seq}
-		if response.WantConfig {
-			request.Entries = p.store.GetAll([]string{agentapi.ConfigurationKey})
+		if configuration := p.storedConfiguration(); response.WantConfig && configuration.Version > 0 {
+			request.Entries = []gossip.Entry{configuration}
 		}
 	}
 }
 
+// storedConfiguration returns the entry of the newest configuration that the agent has sent, which may be
+// invalid; the zero entry if there is none.
+func (p *proxy) storedConfiguration() gossip.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entry, _ := p.store.Get(agentapi.ConfigurationKey)
+	return entry
+}
+
 // applyFeed applies the entries of a response of the feed. If agentRestarted is true the response is the
 // first of a new incarnation of the agent and contains all entries that this incarnation has. Once the
 // agent's store is complete, the entries that this incarnation has not sent are deleted.
