--- a/internal/cluster/consensus/consensus.go
+++ b/internal/cluster/consensus/consensus.go
@@ -17,7 +17,7 @@
 //
 // A learner receives the configuration and waits. It gets a vote in the same agreement that
 // removes another member's vote, or in addition while there are fewer voters than configured.
-// Each such addition is of one learner. If the number of voters is even and no learner can
+// Each such addition is of one learner, and an odd number of voters grows only if two are ready. If the number of voters is even and no learner can
 // be added or replace a member, the next view removes one member, so that the number is odd again.
 //
 // Each view is based on the newest entry that was reported by the majority of the previous
--- a/internal/cluster/consensus/proposer.go
+++ b/internal/cluster/consensus/proposer.go
@@ -14,6 +14,7 @@
 	startedAt      int64
 	storedAtStart  views.Viewstamp // viewstamp of the proposer's entry when the ballot was started
 	promises       map[views.Member]Promise
+	askedLearners  map[views.Member]bool            // the learners that were sent a Prepare
 	joinedLearners map[views.Member]views.Viewstamp // the learners that have answered, and the viewstamps of their entries
 	value          *views.View                      // the proposed view; nil in the first phase, set in the second
 	accepts        map[views.Member]bool            // the members that have accepted value
@@ -89,25 +90,28 @@
 	m.Promised, m.changed = b, true
 	m.seal(now)
 	stored := m.store.Stored().Viewstamp()
-	m.ownBallot = &ballotState{ballot: b, startedAt: now, storedAtStart: stored, joinedLearners: make(map[views.Member]views.Viewstamp),
+	m.ownBallot = &ballotState{ballot: b, startedAt: now, storedAtStart: stored, askedLearners: make(map[views.Member]bool), joinedLearners: make(map[views.Member]views.Viewstamp),
 		promises: map[views.Member]Promise{m.Self: {Ballot: b, Viewstamp: stored, Accepted: m.Accepted}},
 		accepts:  make(map[views.Member]bool)}
 	for _, to := range m.View.Members {
 		m.send(to, m.View.Epoch+1, Prepare{Ballot: b, Viewstamp: stored})
 	}
-	for _, x := range m.targetView(now, true).Members {
-		if !m.View.Has(x) {
-			m.prepareLearner(x, b, stored)
-		}
-	}
+	m.prepareLearners(m.targetView(now, true))
 	m.startAcceptPhase(now)
 }
 
-// prepareLearner asks a learner that is to get a vote to confirm that it is alive, and sends it
-// the stored entry if its own one is older.
-func (m *Machine) prepareLearner(x views.Member, b Ballot, stored views.Viewstamp) {
-	entry := m.entryFor(m.peers.learners[x].viewstamp, stored)
-	m.send(x, m.View.Epoch+1, Prepare{Ballot: b, Viewstamp: stored, Joiner: &x, Entry: entry})
+// prepareLearners asks the learners that are to get a vote in a target view to confirm that they are
+// alive, and sends them the stored entry if their own one is older. Each is asked once a ballot.
+func (m *Machine) prepareLearners(target views.View) {
+	stored := m.store.Stored().Viewstamp()
+	for _, x := range target.Members {
+		if m.View.Has(x) || m.ownBallot.askedLearners[x] {
+			continue
+		}
+		m.ownBallot.askedLearners[x] = true
+		entry := m.entryFor(m.peers.learners[x].viewstamp, stored)
+		m.send(x, m.View.Epoch+1, Prepare{Ballot: m.ownBallot.ballot, Viewstamp: stored, Joiner: &x, Entry: entry})
+	}
 }
 
 // answersOwnBallot reports whether a message answers the ballot that this process leads.
@@ -151,10 +155,9 @@
 		m.sendAccepts(now, v)
 		return
 	}
-	// The target view is computed again and may include a learner that appeared after propose. No
-	// Prepare was sent to that learner, so the ballot waits for half of its timeout and then leaves
-	// the learner out.
+	// The target view is computed again and may include a learner that appeared after propose.
 	v := m.targetView(now, true)
+	m.prepareLearners(v)
 	for _, x := range v.Members {
 		if _, joined := ballot.joinedLearners[x]; !joined && !m.View.Has(x) && now-ballot.startedAt < m.cfg.BallotTimeout/2 {
 			return
--- a/internal/cluster/consensus/reconfigure.go
+++ b/internal/cluster/consensus/reconfigure.go
@@ -95,18 +95,15 @@
 	return index
 }
 
-// addVoters gives one learner a vote while there are fewer voters than configured. For an odd
-// number of voters, 2 - len(members)%2 is 1 too, so two learners are never added at once: an odd
-// number of voters becomes even, and a further view adds another learner or removes a member.
+// addVoters gives one learner a vote while there are fewer voters than configured. An odd number of
+// voters grows only if a second learner is ready, which the next view adds: removeVoters would
+// otherwise take the vote away again.
 func (m *Machine) addVoters(members, ready []views.Member) ([]views.Member, bool) {
-	added := 2 - len(members)%2
-	if len(members)%2 == 0 {
-		added = 1
-	}
-	if len(members)+added > m.cfg.Voters || len(ready) < added {
+	needed := 1 + len(members)%2
+	if len(members)+needed > m.cfg.Voters || len(ready) < needed {
 		return nil, false
 	}
-	return append(slices.Clone(members), ready[:added]...), true
+	return append(slices.Clone(members), ready[0]), true
 }
 
 // removeVoters removes one member if the number of members is even, or two if that number is odd
