--- a/choice/fuzz_test.go
+++ b/choice/fuzz_test.go
@@ -23,7 +23,6 @@
 	arrivals      []Micros
 	extraAttempts []Micros
 	inFlight      []*checkedAttempt
-	finished      int // queries that have ended; not checked
 }
 
 type checkedQuery struct {
@@ -144,7 +143,6 @@
 	if c.now > q.endsAt+c.settings.AnswerSlack && c.now > c.stalledUntil {
 		c.t.Fatalf("%s ended %d us late", id, c.now-q.endsAt)
 	}
-	c.finished++
 	return q
 }
 
@@ -175,7 +173,6 @@
 		c.t.Fatalf("%s answered (complete: %v) with weight %v", answer.ID, answer.Whole, weight)
 	}
 	if q.step == 1 && q.class.FetchParts > 0 {
-		c.finished--
 		for _, p := range q.parts {
 			p.closed = true
 		}
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -68,9 +68,9 @@
 	}
 	cfg := &Config{clientLimits: downstream.DefaultLimits, connGrace: defaultConnGrace, name: setting("name", "BALANCER_NAME"), listen: setting("listen", "BALANCER_LISTEN"),
 		discovery: setting("discovery", "BALANCER_DISCOVERY")}
-	for field, addr := range map[string]string{"listen": cfg.listen, "discovery": cfg.discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return nil, &settings.FieldError{Path: field, Problem: fmt.Sprintf("%q is not an address", addr)}
+	for _, address := range []struct{ field, addr string }{{"listen", cfg.listen}, {"discovery", cfg.discovery}} {
+		if _, _, err := net.SplitHostPort(address.addr); err != nil {
+			return nil, &settings.FieldError{Path: address.field, Problem: fmt.Sprintf("%q is not an address", address.addr)}
 		}
 	}
 	var err error
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -326,6 +326,14 @@
 	return text
 }
 
+// Of two wrong addresses the first field is reported, each time.
+func TestFirstWrongAddress(t *testing.T) {
+	for range 50 {
+		_, err := decode([]byte(`{"listen":"x","discovery":"y"}`), func(string) string { return "" })
+		require.EqualError(t, err, `field listen: "x" is not an address`)
+	}
+}
+
 // TestConfig checks that an error in a configuration is reported with the name of the field.
 // Each case of testdata/config-errors.txt has one error.
 func TestConfig(t *testing.T) {
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -184,7 +184,6 @@
 	claims           []*sourceClaim // by index in Members.sources; nil: never named by that source
 	member           Member
 	listed           bool // ready or draining in the last returned list
-	firstNamedAt     Micros
 	confirmed        bool
 	penalty          float64
 	penaltyAt        Micros // when penalty was last updated
@@ -400,9 +399,6 @@
 			}
 		}
 	}
-	if v.firstNamedAt == 0 {
-		v.firstNamedAt = max(now, 1)
-	}
 	m.markDirty(v)
 }
 
--- a/internal/exchange/at_most_once_test.go
+++ b/internal/exchange/at_most_once_test.go
@@ -26,7 +26,6 @@
 	names      []string
 	executions map[string]int      // by query id
 	running    map[*Attempt]*timer // the timer ends the execution
-	started    map[*Attempt]bool   // a server has started to execute the attempt; recorded only: no check reads it
 }
 
 type simServer struct {
@@ -58,7 +57,6 @@
 					return
 				}
 				s.executions[a.QueryID()]++
-				s.started[a] = true
 				took := time.Duration((40 + 40*s.rng.ExpFloat64()) * max(server.slowdown, 1) * float64(time.Millisecond))
 				s.running[a] = s.after(took, func() {
 					delete(s.running, a)
@@ -118,7 +116,7 @@
 func TestAtMostOnceExecution(t *testing.T) {
 	const bookings, faultInterval = 100_000, 45 // a fault is injected after every 45 bookings
 	s := &simulation{manualLoop: manualLoop{time.Now()}, rng: rand.New(rand.NewPCG(1, 36)), servers: make(map[string]*simServer),
-		executions: make(map[string]int), running: make(map[*Attempt]*timer), started: make(map[*Attempt]bool)}
+		executions: make(map[string]int), running: make(map[*Attempt]*timer)}
 	set := settings.Settings{Router: choice.Settings{Cells: 1, Width: 1, Shards: 1, Routers: 1, AttemptCap: 4, Resolution: 1000, MaxPartsPerCall: 1, AskWithin: 10_000_000,
 		Cancel: true, ParallelAttempts: true, MaxRetryAfter: 1_000_000,
 		Classes: []choice.Class{{Name: "booking", LatencyTarget: 800_000, Deadline: 4_000_000, RequiredShare: 1, MinShare: 1, Value: 1, Effect: choice.Unsafe, LateValue: 0.4}}}}
--- a/internal/hook/json.go
+++ b/internal/hook/json.go
@@ -178,6 +178,9 @@
 		case "left_ms":
 			a.Left = int64(r.number(path, item) * 1000)
 		case "drop":
+			if !item.IsArray() {
+				r.fail(path, "not a list of numbers")
+			}
 			for i, e := range item.Array() {
 				a.Drop = append(a.Drop, int(r.number(fmt.Sprintf("drop.%d", i), e)))
 			}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -195,7 +196,11 @@
 		return nil, err
 	}
 	resp.KeepAlive = keepAlive(proto, resp.Header)
-	length, chunked, err := framing(resp.Header, r.maxBody)
+	maxLength := r.maxBody
+	if !AllowsBody(method, status) {
+		maxLength = math.MaxInt // Content-Length is that of the body which another method would get
+	}
+	length, chunked, err := framing(resp.Header, maxLength)
 	if err != nil {
 		return nil, err
 	}
@@ -381,7 +386,7 @@
 // has the field "Connection: close".
 func AppendResponse(b []byte, status int, contentType string, body []byte, keepAlive bool, fields ...Field) []byte {
 	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n",
-		status, reasonPhrases[status], contentType, len(body))
+		status, StatusText(status), contentType, len(body))
 	for _, f := range fields {
 		b = fmt.Appendf(b, "%s: %s\r\n", f.Name, f.Value)
 	}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// A response that has no body may state the length of the one that another method or an earlier request got.
+func TestLengthOfAbsentBody(t *testing.T) {
+	for _, c := range []struct {
+		method string
+		status int
+	}{{"HEAD", 200}, {"GET", 304}} {
+		text := fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n", c.status, int64(9e9))
+		r := NewReader(strings.NewReader(text + string(AppendResponse(nil, 429, "text/plain", []byte("later"), true))))
+		require.NoError(t, r.Await())
+		response, err := r.ResponseTo(c.method)
+		require.NoError(t, err)
+		require.Empty(t, response.Body)
+		require.NoError(t, r.Await())
+		next, err := r.ResponseTo("GET")
+		require.NoError(t, err)
+		require.Equal(t, "later", string(next.Body))
+	}
+	require.Contains(t, string(AppendResponse(nil, 429, "text/plain", nil, true)), "HTTP/1.1 429 Too Many Requests\r\n")
+}
+
 // FuzzReader reads any bytes as requests and as a response: neither may panic or exceed the
 // limits.
 func FuzzReader(f *testing.F) {
--- a/internal/inifile/decode.go
+++ b/internal/inifile/decode.go
@@ -78,8 +78,8 @@
 			return s.Errorf(k.Name, "%v", err)
 		}
 	}
-	for key, f := range known {
-		if f.Tag.Get("need") != "" && !s.Has(key) {
+	for _, key := range names {
+		if known[key].Tag.Get("need") != "" && !s.Has(key) {
 			return s.Errorf("", "%s must be given", key)
 		}
 	}
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -11,6 +11,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -74,16 +75,11 @@
 		return nil, err
 	}
 	defer f.Close()
-	text := make([]byte, MaxBytes+1)
-	n := 0
-	for n < len(text) {
-		m, err := f.Read(text[n:])
-		n += m
-		if m == 0 || err != nil {
-			break
-		}
+	text, err := io.ReadAll(io.LimitReader(f, MaxBytes+1))
+	if err != nil {
+		return nil, err
 	}
-	return Parse(file, text[:n])
+	return Parse(file, text)
 }
 
 // Parse parses a text; file is its name in errors.
--- a/internal/inifile/inifile_test.go
+++ b/internal/inifile/inifile_test.go
@@ -31,6 +31,25 @@
 	require.Equal(t, Field{Key: "memory", Value: "1GiB", Default: "4MiB", Range: "64KiB..1GiB", Kind: "size"}, Fields(&got)[2])
 }
 
+// A file that cannot be read to its end is not parsed in part.
+func TestUnreadableFile(t *testing.T) {
+	_, err := Read(t.TempDir())
+	require.ErrorContains(t, err, "is a directory")
+}
+
+// Of several missing keys the first of the struct is reported, each time.
+func TestFirstMissingKey(t *testing.T) {
+	doc, err := Parse("x.ini", []byte("[s]\n"))
+	require.NoError(t, err)
+	for range 50 {
+		err := doc.Sections[0].Decode(&struct {
+			First  string `ini:"first" need:"yes"`
+			Second string `ini:"second" need:"yes"`
+		}{})
+		require.ErrorContains(t, err, "first must be given")
+	}
+}
+
 // Each error names the file, line, section and key.
 func TestFaults(t *testing.T) {
 	for text, want := range map[string]string{
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -35,14 +35,12 @@
 	networkAllowanceDivisor = 10
 	idleFraction            = 0.9
 	drainMargin             = 500 * time.Millisecond
-	connsEach               = 4
 )
 
 const (
-	judgeInterval  = 5 * time.Second  // how often the judge discards finished queries
-	judgeDelay     = 10 * time.Second // queries that ended longer ago are discarded
-	overtime       = 30 * time.Second // time after the load and the longest client timeout by which everything must have finished
-	connResetDelay = time.Second      // delay until the connections of a killed proxy are reset
+	judgeInterval = 5 * time.Second  // how often the judge discards finished queries
+	judgeDelay    = 10 * time.Second // queries that ended longer ago are discarded
+	overtime      = 30 * time.Second // time after the load and the longest client timeout by which everything must have finished
 )
 
 // epoch is the start of virtual time on the clock that the proxies see.
--- a/internal/node/nodesettings/file.go
+++ b/internal/node/nodesettings/file.go
@@ -25,13 +25,11 @@
 
 // Open reads the settings file at a path.
 func Open(path string) (*File, error) {
-	f := &File{path: path}
-	settings, err := Load(path)
+	settings, text, err := load(path)
 	if err != nil {
 		return nil, err
 	}
-	raw, _ := os.ReadFile(path)
-	text := string(raw)
+	f := &File{path: path}
 	f.text.Store(&text)
 	f.current.Store(settings)
 	return f, nil
--- a/internal/node/nodesettings/settings.go
+++ b/internal/node/nodesettings/settings.go
@@ -41,15 +41,21 @@
 
 // Load reads and parses the settings file at a path.
 func Load(path string) (*Settings, error) {
+	settings, _, err := load(path)
+	return settings, err
+}
+
+// load reads and parses a file, and also returns the text that it has parsed.
+func load(path string) (*Settings, string, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, paths.Error.Wrap(err)
+		return nil, "", paths.Error.Wrap(err)
 	}
 	settings, err := Parse(string(text))
 	if err != nil {
-		return nil, paths.Error.New("%s: %v", path, err)
+		return nil, "", paths.Error.New("%s: %v", path, err)
 	}
-	return settings, nil
+	return settings, string(text), nil
 }
 
 // Parse parses the text of a settings file. Unknown fields are ignored.
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -32,7 +32,6 @@
 	id     string // id of the query, which the answer must carry
 	sentAt time.Time
 
-	used           bool // an answer has arrived on the connection
 	idleSince      time.Time
 	keepAliveUntil time.Time // no request is sent after this time, because the server may close the connection; zero: unknown
 	closed         bool
@@ -117,7 +116,7 @@
 // server has more connections than it may have.
 // A connection that becomes idle takes the first waiting call that may use it.
 func (c *conn) release(keep bool) {
-	c.busy, c.call, c.used, c.idleSince = false, nil, true, time.Now()
+	c.busy, c.call, c.idleSince = false, nil, time.Now()
 	if !keep || c.draining || c.server.hasSurplus() {
 		c.closeWith(choice.ConnectionLost)
 		return
