--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -605,8 +605,6 @@
 		return
 	}
 	c.closed = true
-	c.nc.Close()
-	c.wake.Signal()
 	p, s := c.pool, c.server
 	p.conns--
 	p.Exchange.Counters.ServerConns.Add(-1)
@@ -619,6 +617,8 @@
 		p.Exchange.Counters.Resets.Add(1)
 		log.Warn("leaf-lost", "server", s.name, "addr", c.addr, "parts", len(c.calls), "err", err)
 	}
+	c.nc.Close() // after the counters: who sees the connection closed also finds it counted
+	c.wake.Signal()
 	var unsent []*call
 	for _, m := range c.queue {
 		if m.kind != 'X' && !m.call.done {
