--- a/internal/lab/testcluster/demo.go
+++ b/internal/lab/testcluster/demo.go
@@ -39,6 +39,7 @@
 			if proxies < 1 || proxies > 9 {
 				return fmt.Errorf("--proxies: %d is not between 1 and 9", proxies)
 			}
+			signal.Ignore(syscall.SIGPIPE) // a reader that leaves, such as head, must not keep the fleet from being ended
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 			if length > 0 {
--- a/internal/lab/testcluster/testcluster.go
+++ b/internal/lab/testcluster/testcluster.go
@@ -181,7 +181,11 @@
 		cluster.heartbeats.Add(1)
 		go cluster.sendHeartbeats(ctx, instance, i)
 	}
-	return cluster, cluster.waitUntilReady()
+	if err := cluster.waitUntilReady(); err != nil {
+		cluster.Close()
+		return nil, err
+	}
+	return cluster, nil
 }
 
 // Close ends everything that Start started, and deletes its files.
